--- /dev/null
+++ b/src/main/java/garnetscale/app/CloudLink.java
@@ -0,0 +1,93 @@
+package garnetscale.app;
+
+import garnetscale.core.Params;
+import garnetscale.core.fleet.CloudCall;
+import garnetscale.core.fleet.Fleet;
+import garnetscale.core.machine.MachineType;
+import garnetscale.net.HttpClient;
+import garnetscale.net.HttpResult;
+import garnetscale.wire.CloudCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.List;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries out the fleet's calls, one at a time and never above the cloud's limit. */
+final class CloudLink {
+
+    private static final Logger LOG = LoggerFactory.getLogger(CloudLink.class);
+    private static final long TIMEOUT_MS = 5000;
+
+    private final HttpClient http;
+    private final String host;
+    private final Fleet fleet;
+    private final Consumer<List<MachineType>> types;
+    private final Consumer<String> dead;
+    private final long spacingMs;
+    private boolean busy;
+    private long lastAt = Long.MIN_VALUE / 2;
+
+    CloudLink(Params params, HttpClient http, String host, Fleet fleet, Consumer<List<MachineType>> types,
+              Consumer<String> dead) {
+        this.http = http;
+        this.host = host;
+        this.fleet = fleet;
+        this.types = types;
+        this.dead = dead;
+        this.spacingMs = fleet.spacingMs() + params.clockOffMs();
+    }
+
+    boolean ready(long now) {
+        return !busy && now - lastAt >= spacingMs;
+    }
+
+    void call(long now, CloudCall call) {
+        busy = true;
+        lastAt = now;
+        if (call instanceof CloudCall.Types) {
+            send(HttpMethod.GET, "/flavors", null, r -> {
+                List<MachineType> list = CloudCodec.types(r.body());
+                fleet.onTypes(list);
+                types.accept(list);
+            }, r -> { });
+        } else if (call instanceof CloudCall.Page p) {
+            send(HttpMethod.GET, CloudCodec.pagePath(p), null, r -> {
+                CloudCodec.Page page = CloudCodec.page(r.body());
+                fleet.onPage(StateLink.now(), page.machines(), page.more());
+                fleet.failed().forEach(dead);
+            }, r -> { });
+        } else if (call instanceof CloudCall.Rent rent) {
+            // A rental without an answer may still be carried out; its machines then show in the list.
+            send(HttpMethod.POST, "/machines", CloudCodec.rent(rent),
+                r -> fleet.onRented(StateLink.now(), rent, CloudCodec.rented(r.body())),
+                r -> fleet.onRefused(StateLink.now(), rent));
+        } else if (call instanceof CloudCall.Delete d) {
+            send(HttpMethod.POST, "/machines/delete", CloudCodec.delete(d), r -> {
+                fleet.onDeleted(d.machines());
+                d.machines().forEach(dead);
+            }, r -> { });
+        }
+    }
+
+    private interface Body {
+        void read(HttpResult r) throws IOException;
+    }
+
+    private void send(HttpMethod method, String path, byte[] body, Body ok, Consumer<HttpResult> failed) {
+        http.call(host, method, path, body, TIMEOUT_MS, r -> {
+            busy = false;
+            try {
+                if (r.is(200)) {
+                    ok.read(r);
+                } else {
+                    LOG.debug("cloud: {} {} -> {} {}", method, path, r.outcome(), r.status());
+                    failed.accept(r);
+                }
+            } catch (IOException e) {
+                LOG.info("cloud: {} {} gave a malformed answer: {}", method, path, e.getMessage());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/app/Front.java
@@ -0,0 +1,285 @@
+package garnetscale.app;
+
+import garnetscale.core.Params;
+import garnetscale.core.job.JobRecord;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.JobState;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Mirror;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.Txn;
+import garnetscale.net.Reply;
+import garnetscale.wire.Cbor;
+import garnetscale.wire.UserCodec;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Serves users. No answer is older than one that any node has given: what is not final is answered only from a
+ * mirror that was brought up to date after the request came, and what can't be is refused at once with 503.
+ */
+final class Front {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Front.class);
+    private static final int CACHED = 4096;
+    /** Requests that may wait for the state service at a time; more would only be answered late. */
+    private static final int MOST_WAITING = 400;
+
+    private final Params params;
+    private final Mirror mirror;
+    private final StateLink state;
+    private final Function<JobView, String> why;
+    private int waiting;
+    /** Jobs that are over; their state never changes again. */
+    private final Map<String, Records.Archived> over = new LinkedHashMap<>(64, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Records.Archived> eldest) {
+            return size() > CACHED;
+        }
+    };
+
+    Front(Params params, Mirror mirror, StateLink state, Function<JobView, String> why) {
+        this.params = params;
+        this.mirror = mirror;
+        this.state = state;
+        this.why = why;
+    }
+
+    /** Handles a path below /v2/runs. */
+    void handle(String method, String path, byte[] body, Consumer<Reply> answer) {
+        String rest = path.substring("/v2/runs".length());
+        if (rest.isEmpty() || rest.equals("/")) {
+            if (method.equals("POST")) {
+                submit(body, answer);
+            } else {
+                answer.accept(error(405, "only POST"));
+            }
+            return;
+        }
+        String id = rest.substring(1);
+        boolean cancel = id.endsWith("/cancel");
+        if (cancel) {
+            id = id.substring(0, id.length() - "/cancel".length());
+        }
+        if (!UserCodec.isId(id)) {
+            answer.accept(error(404, "no such job"));
+        } else if (!method.equals(cancel ? "POST" : "GET")) {
+            answer.accept(error(405, cancel ? "only POST" : "only GET"));
+        } else if (cancel) {
+            cancel(id, 0, answer);
+        } else {
+            poll(id, false, answer);
+        }
+    }
+
+    private static Reply error(int status, String why) {
+        return Reply.of(status, UserCodec.error(why));
+    }
+
+    private static Reply later(String why) {
+        return new Reply(503, UserCodec.error(why), 1);
+    }
+
+    private void submit(byte[] body, Consumer<Reply> answer) {
+        Map<?, ?> map;
+        String id;
+        try {
+            map = Cbor.readMap(body);
+            id = UserCodec.id(map);
+        } catch (IOException | RuntimeException e) {
+            answer.accept(error(400, reason(e)));
+            return;
+        }
+        if (!mirror.loaded() || state.failing() || waiting > MOST_WAITING) {
+            answer.accept(later("the state service can't be asked"));
+            return;
+        }
+        if (over.containsKey(id) || mirror.job(id) != null) {
+            poll(id, true, answer);
+            return;
+        }
+        JobSpec spec;
+        Reply refusal;
+        try {
+            spec = UserCodec.job(map);
+            refusal = check(spec);
+        } catch (IOException | RuntimeException e) {
+            spec = null;
+            refusal = error(400, reason(e));
+        }
+        if (refusal != null) {
+            // A job that is known is answered with its state, whatever a repeat of its submission says.
+            Reply no = refusal;
+            lookUp(id, found -> answer.accept(found == null ? later("state unknown") : found.status() == 404 ? no : found));
+            return;
+        }
+        JobRecord record = new JobRecord(spec, JobState.LIVE, System.currentTimeMillis());
+        Map<String, Object> value = Records.job(record);
+        if (Cbor.write(value).length > params.valueBytes()) {
+            answer.accept(error(400, "too long"));
+            return;
+        }
+        waiting++;
+        Txn txn = new Txn().guard(Keys.job(id), 0).guard(Keys.archived(id), 0).put(Keys.job(id), value);
+        JobSpec accepted = spec;
+        state.submit(txn, (result, ledger) -> {
+            waiting--;
+            switch (result) {
+                case OK -> {
+                    LOG.debug("job {} accepted: {} tasks, team {}", id, accepted.tasks(), accepted.team());
+                    answer.accept(Reply.of(201, UserCodec.answer(
+                        new UserCodec.Answer(id, "pending", 0, 0, accepted.team(), null))));
+                }
+                case CONFLICT -> poll(id, true, answer);
+                case MAYBE -> lookUp(id, found ->
+                    answer.accept(found == null || found.status() == 404 ? later("not sure yet") : found));
+                default -> answer.accept(later("the state service can't take it"));
+            }
+        });
+    }
+
+    private static String reason(Exception e) {
+        String m = e instanceof com.fasterxml.jackson.core.JacksonException j ? "not CBOR: " + j.getOriginalMessage()
+            : e.getMessage();
+        return m == null ? "malformed" : m;
+    }
+
+    /** Null when the job can run some time; 422 when it never can; 503 while the types aren't known. */
+    private Reply check(JobSpec spec) {
+        Params.Team team = params.teams().get(spec.team());
+        if (team == null) {
+            return error(422, "unknown team " + spec.team());
+        }
+        if (mirror.types().isEmpty()) {
+            return later("machine types not known yet");
+        }
+        boolean fits = false;
+        for (MachineType t : mirror.types()) {
+            fits |= t.fits(spec) && (spec.zone() == null || t.zones().contains(spec.zone()));
+        }
+        if (!fits) {
+            return error(422, "a task fits no allowed machine type and zone");
+        }
+        if (spec.cpus() > team.cpusMax() || spec.gpus() > team.gpusMax()) {
+            return error(422, "a task needs more than the limit of team " + spec.team());
+        }
+        return null;
+    }
+
+    private void poll(String id, boolean known, Consumer<Reply> answer) {
+        lookUp(id, found -> answer.accept(found == null ? later("state unknown")
+            : known && found.status() == 404 ? later("state unknown") : found));
+    }
+
+    /** The job's state from a mirror newer than this call, or from the archive; null when it can't be known. */
+    private void lookUp(String id, Consumer<Reply> found) {
+        Records.Archived known = over.get(id);
+        if (known != null) {
+            found.accept(Reply.of(200, answer(id, known)));
+            return;
+        }
+        if (!mirror.loaded() || state.failing() || waiting > MOST_WAITING) {
+            found.accept(null);
+            return;
+        }
+        waiting++;
+        state.sync(ok -> {
+            waiting--;
+            if (!ok) {
+                found.accept(null);
+                return;
+            }
+            JobView job = mirror.job(id);
+            if (job != null) {
+                found.accept(Reply.of(200, answer(job)));
+                return;
+            }
+            // The mirror didn't hold it as of a moment after the request: it is over, or was never accepted.
+            archived(id, found);
+        });
+    }
+
+    private void archived(String id, Consumer<Reply> found) {
+        state.get(Keys.archived(id), (sure, value) -> {
+            if (!sure) {
+                found.accept(null);
+            } else if (value == null) {
+                found.accept(error(404, "no such job"));
+            } else {
+                Records.Archived a = Records.archived(value);
+                over.put(id, a);
+                found.accept(Reply.of(200, answer(id, a)));
+            }
+        });
+    }
+
+    private byte[] answer(JobView job) {
+        String id = job.spec().id();
+        if (job.job().state() == JobState.CANCELLED) {
+            return UserCodec.answer(new UserCodec.Answer(id, "withdrawn", job.finishedCount(), job.placedCount(),
+                job.spec().team(), "cancelled by its user"));
+        }
+        String mood = job.placedCount() > 0 ? "running" : "pending";
+        return UserCodec.answer(new UserCodec.Answer(id, mood, job.finishedCount(), job.placedCount(),
+            job.spec().team(), why.apply(job)));
+    }
+
+    private static byte[] answer(String id, Records.Archived a) {
+        boolean done = a.state() == JobState.DONE;
+        return UserCodec.answer(new UserCodec.Answer(id, done ? "done" : "withdrawn", a.finished(), 0, a.team(),
+            done ? null : "cancelled by its user"));
+    }
+
+    private void cancel(String id, int tries, Consumer<Reply> answer) {
+        Records.Archived known = over.get(id);
+        if (known != null) {
+            answer.accept(Reply.of(200, answer(id, known)));
+            return;
+        }
+        if (!mirror.loaded() || state.failing() || waiting > MOST_WAITING || tries > 3) {
+            answer.accept(later("the state service can't be asked"));
+            return;
+        }
+        waiting++;
+        state.sync(ok -> {
+            waiting--;
+            JobView job = ok ? mirror.job(id) : null;
+            if (!ok) {
+                answer.accept(later("state unknown"));
+            } else if (job == null) {
+                archived(id, found -> answer.accept(found == null ? later("state unknown") : found));
+            } else if (!job.live()) {
+                answer.accept(Reply.of(200, answer(job)));
+            } else {
+                withdraw(job, tries, answer);
+            }
+        });
+    }
+
+    /** Done is written over the same key: only one of the two can win. */
+    private void withdraw(JobView job, int tries, Consumer<Reply> answer) {
+        String id = job.spec().id();
+        Txn txn = new Txn().guard(Keys.job(id), job.stamp())
+            .put(Keys.job(id), Records.job(job.job().withState(JobState.CANCELLED)));
+        waiting++;
+        state.submit(txn, (result, ledger) -> {
+            waiting--;
+            switch (result) {
+                case OK -> {
+                    LOG.info("job {} of team {} cancelled by its user", id, job.spec().team());
+                    answer.accept(Reply.of(200, UserCodec.answer(new UserCodec.Answer(id, "withdrawn",
+                        job.finishedCount(), job.placedCount(), job.spec().team(), "cancelled by its user"))));
+                }
+                case CONFLICT, MAYBE -> cancel(id, tries + 1, answer);
+                default -> answer.accept(later("the state service can't take it"));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/app/Main.java
@@ -0,0 +1,80 @@
+package garnetscale.app;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.Locale;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line. */
+@Command(name = "garnetscale", mixinStandardHelpOptions = true, version = "garnetscale 0.1.0",
+    description = "A cluster scheduler whose machines bid for work.", subcommands = Main.Check.class)
+public final class Main implements Callable<Integer> {
+
+    @Option(names = "--config", paramLabel = "FILE", description = "Serve with the platform's settings in FILE (TOML).")
+    Path config;
+
+    @Command(name = "check", mixinStandardHelpOptions = true, description = "Validate settings without serving.")
+    static final class Check implements Callable<Integer> {
+
+        @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings file.")
+        Path config;
+
+        @Override
+        public Integer call() {
+            try {
+                Settings.read(config);
+                System.out.println(config + ": good");
+                return 0;
+            } catch (Settings.Faults e) {
+                e.faults().forEach(f -> System.err.println(config + ": " + f));
+                return 2;
+            }
+        }
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (config == null) {
+            System.err.println("garnetscale: --config FILE is missing; see --help");
+            return 2;
+        }
+        Settings settings;
+        try {
+            settings = Settings.read(config);
+        } catch (Settings.Faults e) {
+            System.err.println("garnetscale: " + config + ": " + e.getMessage());
+            return 2;
+        }
+        try {
+            new Node(settings).start();
+        } catch (IOException e) {
+            System.err.println("garnetscale: " + e.getMessage());
+            return 1;
+        }
+        new CountDownLatch(1).await();
+        return 0;
+    }
+
+    private static void setUpLogging() {
+        String wanted = System.getenv("LOG_LEVEL");
+        String level = wanted == null ? "info" : wanted.toLowerCase(Locale.ROOT);
+        if (!List.of("error", "info", "debug").contains(level)) {
+            System.err.println("garnetscale: LOG_LEVEL is not error, info or debug; taking info");
+            level = "info";
+        }
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
+        System.setProperty("org.slf4j.simpleLogger.log.io.netty", level.equals("debug") ? "info" : level);
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+    }
+
+    public static void main(String[] args) {
+        setUpLogging();
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/app/Node.java
@@ -0,0 +1,427 @@
+package garnetscale.app;
+
+import garnetscale.core.Params;
+import garnetscale.core.bid.Estimator;
+import garnetscale.core.block.Blocks;
+import garnetscale.core.block.Holder;
+import garnetscale.core.block.LeaderInfo;
+import garnetscale.core.block.Observation;
+import garnetscale.core.fleet.CloudCall;
+import garnetscale.core.fleet.Fleet;
+import garnetscale.core.lead.Leader;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Report;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Mirror;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.Txn;
+import garnetscale.net.HttpClient;
+import garnetscale.net.HttpResult;
+import garnetscale.net.HttpServer;
+import garnetscale.net.PeerLinks;
+import garnetscale.net.Reply;
+import garnetscale.peer.PeerMessage;
+import garnetscale.wire.WorkerCodec;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One controller process: the roles of the core, wired to sockets and timers. All of it runs on one event loop;
+ * the core's objects are touched by nothing else.
+ */
+final class Node implements StateLink.Listener {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final long TICK_MS = 250;
+    private static final long HEARTBEAT_MS = 1000;
+
+    private record Peer(PeerMessage.Heartbeat last, long at) {
+    }
+
+    private final Params params;
+    private final Settings settings;
+    private final EventLoopGroup loop;
+    private final Mirror mirror = new Mirror();
+    private final Estimator estimator = new Estimator();
+    private final Holder holder;
+    private final Leader leader;
+    private final Fleet fleet;
+    private final StateLink state;
+    private final CloudLink cloud;
+    private final Front front;
+    private final PeerLinks peers;
+    private final HttpClient workers;
+    private final HttpServer server;
+    private final Map<String, Peer> heard = new HashMap<>();
+    private boolean workQueued;
+    private boolean electing;
+    private boolean txnUnderWay;
+    /** The leader key's stamp that a transaction of unknown outcome was guarded by, or -1. */
+    private long unknownStamp = -1;
+    private long awaitedLedger = -1;
+    private long ledTerm = -1;
+    private long planAgainAt = -1;
+    private List<MachineType> types = List.of();
+    private long lease = -1;
+
+    Node(Settings settings) {
+        this.settings = settings;
+        this.params = settings.params();
+        this.loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
+        Blocks blocks = new Blocks(params);
+        this.holder = new Holder(params, mirror, blocks, estimator);
+        this.leader = new Leader(params, mirror, blocks, LOG::info);
+        this.fleet = new Fleet(params, mirror, LOG::info);
+        this.state = new StateLink(params, loop.next(),
+            new HttpClient(loop, 6, 1000), settings.state(), mirror, this);
+        this.cloud = new CloudLink(params, new HttpClient(loop, 1, 1000), settings.cloud(), fleet, this::onTypes,
+            this::onDead);
+        this.front = new Front(params, mirror, state, this::why);
+        this.peers = new PeerLinks(loop, this::onPeer, this::onLink);
+        this.workers = new HttpClient(loop, 1, 1000);
+        this.server = new HttpServer(loop, Math.max(16, params.maxConnections() / 2), this::onRequest);
+    }
+
+    private static long now() {
+        return StateLink.now();
+    }
+
+    /** Listens and starts; throws when an address is in use. */
+    void start() throws IOException {
+        for (ChannelFuture f : List.of(server.listen(settings.listen()), peers.listen(settings.back()))) {
+            if (!f.awaitUninterruptibly().isSuccess()) {
+                loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+                throw new IOException("can't listen: " + f.cause().getMessage());
+            }
+        }
+        loop.next().execute(() -> {
+            state.start();
+            for (Params.Member m : params.members()) {
+                if (!m.name().equals(params.self())) {
+                    peers.connect(m.name(), m.address());
+                }
+            }
+            loop.next().scheduleAtFixedRate(this::work, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+            loop.next().scheduleAtFixedRate(this::beat, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    // ---- requests
+
+    private void onRequest(String method, String path, byte[] body, Consumer<Reply> answer) {
+        try {
+            if (path.equals("/hello")) {
+                answer.accept(method.equals("POST") ? onReport(body) : Reply.of(405));
+            } else if (path.equals("/ready")) {
+                answer.accept(Reply.of(!method.equals("GET") ? 405 : ready() ? 200 : 503));
+            } else if (path.equals("/v2/runs") || path.startsWith("/v2/runs/")) {
+                front.handle(method, path, body, answer);
+            } else {
+                answer.accept(Reply.of(404));
+            }
+        } catch (RuntimeException e) {
+            LOG.error("request {} {} failed", method, path, e);
+            answer.accept(new Reply(503, new byte[0], 1));
+        }
+    }
+
+    /**
+     * A node takes requests when it knows the types and reaches the state service. In an outage for all, going
+     * out of service would only delay the return, so it stays in unless a peer does better.
+     */
+    private boolean ready() {
+        if (!mirror.loaded() || mirror.types().isEmpty()) {
+            return false;
+        }
+        return state.ageMs() < 3000 || !peerReachesState();
+    }
+
+    private boolean peerReachesState() {
+        for (Peer p : heard.values()) {
+            if (now() - p.at() < 3 * HEARTBEAT_MS && p.last().stateAgeMs() + now() - p.at() < 3000) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Reply onReport(byte[] body) {
+        Report report;
+        try {
+            report = WorkerCodec.report(body);
+        } catch (IOException | RuntimeException e) {
+            LOG.info("malformed report: {}", e.getMessage());
+            return Reply.of(400);
+        }
+        if (!mirror.loaded()) {
+            return Reply.of(503);
+        }
+        Holder.Reply r = holder.onReport(now(), report);
+        queueWork();
+        if (r instanceof Holder.Reply.Answer a) {
+            if (!a.orders().isEmpty()) {
+                LOG.debug("machine {} told {} under token {}", report.machine(), a.orders(), a.token());
+            }
+            return Reply.of(200, WorkerCodec.answer(a.token(), a.orders()));
+        }
+        if (r instanceof Holder.Reply.Redirect to) {
+            return Reply.of(421, WorkerCodec.redirect(to.node()));
+        }
+        LOG.debug("report of {} refused: {}", report.machine(), ((Holder.Reply.Refuse) r).why());
+        return Reply.of(503);
+    }
+
+    // ---- state service
+
+    @Override
+    public void advanced() {
+        queueWork();
+    }
+
+    @Override
+    public void confirmed(long sentAt) {
+        holder.confirmed(sentAt);
+    }
+
+    @Override
+    public void leased(long newLease) {
+        lease = newLease;
+        holder.incarnate(newLease);
+        leader.incarnate(newLease);
+        queueWork();
+    }
+
+    // ---- peers
+
+    private void onLink(String node) {
+        peers.send(node, heartbeat());
+        LeaderInfo l = mirror.leader();
+        if (l != null && l.node().equals(node)) {
+            holder.retell(now());
+            queueWork();
+        }
+    }
+
+    private PeerMessage.Heartbeat heartbeat() {
+        return new PeerMessage.Heartbeat(params.self(), lease, leader.leadingTerm(), state.ageMs());
+    }
+
+    private void beat() {
+        peers.sendAll(heartbeat());
+    }
+
+    private void onPeer(PeerMessage m) {
+        if (m instanceof PeerMessage.Heartbeat h) {
+            Peer before = heard.put(h.node(), new Peer(h, now()));
+            if (h.leaderTerm() >= 0 && (before == null || before.last().leaderTerm() != h.leaderTerm())) {
+                holder.retell(now());
+                queueWork();
+            }
+        } else if (m instanceof PeerMessage.Seen s) {
+            leader.onObservation(now(), s.observation());
+            queueWork();
+        } else if (m instanceof PeerMessage.Bids b) {
+            leader.onBids(now(), b.sheet());
+            queueWork();
+        }
+    }
+
+    // ---- work
+
+    private void queueWork() {
+        if (!workQueued) {
+            workQueued = true;
+            loop.next().schedule(() -> {
+                workQueued = false;
+                work();
+            }, 2, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void work() {
+        if (!mirror.loaded()) {
+            return;
+        }
+        long now = now();
+        try {
+            holder.wallClock(System.currentTimeMillis() - now);
+            leader.wallClock(System.currentTimeMillis() - now);
+            holder.tick(now);
+            holder.drain().forEach(this::carryOut);
+            lead(now);
+        } catch (RuntimeException e) {
+            LOG.error("work failed", e);
+        }
+    }
+
+    private void carryOut(Holder.Effect effect) {
+        if (effect instanceof Holder.Effect.Command c) {
+            LOG.debug("machine {} told {} directly under token {}", c.machine(), c.orders(), c.token());
+            workers.call(c.address(), HttpMethod.POST, "/commands",
+                WorkerCodec.commands(c.token(), c.shift(), c.orders()), 4000, r -> onCommanded(c, r));
+            return;
+        }
+        LeaderInfo l = mirror.leader();
+        if (l == null) {
+            return;
+        }
+        boolean here = l.node().equals(params.self());
+        if (effect instanceof Holder.Effect.Tell t) {
+            if (here) {
+                leader.onObservation(now(), t.observation());
+            } else {
+                peers.send(l.node(), new PeerMessage.Seen(t.observation()));
+            }
+        } else if (effect instanceof Holder.Effect.Offer o) {
+            if (here) {
+                leader.onBids(now(), o.sheet());
+            } else {
+                peers.send(l.node(), new PeerMessage.Bids(o.sheet()));
+            }
+        }
+    }
+
+    private void onCommanded(Holder.Effect.Command c, HttpResult r) {
+        try {
+            if (r.is(200) || r.is(409)) {
+                holder.onCommandAnswer(now(), c.machine(), c.token(), WorkerCodec.report(r.body()));
+            } else {
+                LOG.info("command to machine {} unanswered: {} {}", c.machine(), r.outcome(), r.status());
+                holder.onCommandLost(now(), c.machine(), c.token());
+            }
+        } catch (IOException | RuntimeException e) {
+            holder.onCommandLost(now(), c.machine(), c.token());
+        }
+        queueWork();
+    }
+
+    // ---- leader
+
+    private void lead(long now) {
+        if (lease < 0) {
+            return;
+        }
+        if (!leader.leads(now)) {
+            ledTerm = -1;
+            elect();
+            return;
+        }
+        if (leader.leadingTerm() != ledTerm) {
+            ledTerm = leader.leadingTerm();
+            LOG.info("this node leads under term {}", ledTerm);
+            unknownStamp = -1;
+            fleet.start(now, ledTerm);
+            beat();
+            holder.retell(now);
+            holder.drain().forEach(this::carryOut);
+        }
+        if (state.ageMs() < 3000 && cloud.ready(now)) {
+            CloudCall call = fleet.next(now, leader.machines());
+            if (call != null) {
+                cloud.call(now, call);
+            }
+        }
+        transact(now);
+    }
+
+    private void elect() {
+        if (electing || state.failing()) {
+            return;
+        }
+        Txn txn = leader.election();
+        if (txn == null) {
+            return;
+        }
+        electing = true;
+        loop.next().schedule(() -> {
+            Txn fresh = leader.election();
+            if (fresh == null || lease < 0) {
+                electing = false;
+                return;
+            }
+            state.send(fresh, (result, ledger) -> state.sync(ok -> {
+                electing = false;
+                queueWork();
+            }));
+        }, ThreadLocalRandom.current().nextLong(150), TimeUnit.MILLISECONDS);
+    }
+
+    private void transact(long now) {
+        if (txnUnderWay || mirror.ledger() < awaitedLedger) {
+            return;
+        }
+        boolean fencing = unknownStamp >= 0 && mirror.stamp(Keys.LEADER) == unknownStamp;
+        if (!fencing) {
+            unknownStamp = -1;
+        }
+        Txn txn = fencing ? leader.fence() : nextChange(now);
+        if (txn == null) {
+            long wait = leader.nextPlan(now);
+            if (wait > 0 && (planAgainAt < now || planAgainAt > now + wait)) {
+                planAgainAt = now + wait;
+                loop.next().schedule(this::queueWork, wait, TimeUnit.MILLISECONDS);
+            }
+            return;
+        }
+        txnUnderWay = true;
+        long stamp = mirror.stamp(Keys.LEADER);
+        LOG.debug("{}", txn);
+        state.lead(txn, (result, ledger) -> {
+            switch (result) {
+                case OK, CONFLICT -> {
+                    awaitedLedger = ledger;
+                    state.sync(ok -> queueWork());
+                }
+                case MAYBE, NO_LEASE -> {
+                    unknownStamp = stamp;
+                    state.sync(ok -> queueWork());
+                }
+                case REFUSED -> { }
+            }
+            long pause = result == StateLink.Result.OK || result == StateLink.Result.CONFLICT ? 10
+                : 100 + ThreadLocalRandom.current().nextLong(100);
+            loop.next().schedule(() -> {
+                txnUnderWay = false;
+                queueWork();
+            }, pause, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private Txn nextChange(long now) {
+        if (!types.isEmpty() && mirror.types().isEmpty()) {
+            return new Txn().guard(Keys.LEADER, mirror.stamp(Keys.LEADER)).put(Keys.TYPES, Records.types(types));
+        }
+        return leader.plan(now);
+    }
+
+    private void onTypes(List<MachineType> list) {
+        types = list;
+        queueWork();
+    }
+
+    private void onDead(String machine) {
+        leader.onMachineDead(machine);
+        queueWork();
+    }
+
+    /** Why a job's work waits, for its user. */
+    private String why(JobView job) {
+        if (job.unstarted() == 0) {
+            return null;
+        }
+        return job.unstarted() + " of " + job.spec().tasks() + " tasks wait for room";
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -0,0 +1,426 @@
+package garnetscale.app;
+
+import garnetscale.core.Params;
+import garnetscale.core.block.NodeInfo;
+import garnetscale.core.store.Change;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Mirror;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.Txn;
+import garnetscale.net.Budget;
+import garnetscale.net.HttpClient;
+import garnetscale.net.HttpResult;
+import garnetscale.wire.StateCodec;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The one way to the state service: keeps the process's lease and the mirror, and sends everything else within
+ * this node's part of the limits. Renewals go first; what can't be sent soon is refused at once.
+ */
+final class StateLink {
+
+    /** How a transaction ended. MAYBE: it may have been applied, or may still be. */
+    enum Result {
+        OK, CONFLICT, NO_LEASE, REFUSED, MAYBE
+    }
+
+    /** What the link tells the node. */
+    interface Listener {
+        void advanced();
+
+        void confirmed(long sentAt);
+
+        void leased(long lease);
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(StateLink.class);
+    private static final long TIMEOUT_MS = 2000;
+    private static final long WATCH_MS = 5000;
+    private static final int PAGE = 500;
+    /** Parts of the limits that this node uses for itself: all nodes together stay below one. */
+    private static final double WATCHES = 0.45;
+    private static final double READS = 0.25;
+    private static final double WRITES = 0.9;
+
+    private final Params params;
+    private final EventLoop loop;
+    private final HttpClient http;
+    private final String host;
+    private final Mirror mirror;
+    private final Listener listener;
+    private final Budget watches;
+    private final Budget reads;
+    private final Budget writes;
+    private final Budget submissions;
+    private List<Consumer<Boolean>> waiting = new ArrayList<>();
+    private boolean syncing;
+    private boolean syncQueued;
+    private boolean listing;
+    private long lease = -1;
+    private boolean registering;
+    private long confirmedAt;
+    private long failingSince = -1;
+
+    StateLink(Params params, EventLoop loop, HttpClient http, String host, Mirror mirror, Listener listener) {
+        this.params = params;
+        this.loop = loop;
+        this.http = http;
+        this.host = host;
+        this.mirror = mirror;
+        this.listener = listener;
+        long now = now();
+        double node = params.stateRps() / params.members().size();
+        this.watches = new Budget(node * WATCHES, node * WATCHES, now);
+        this.reads = new Budget(node * READS, node * READS, now);
+        this.writes = new Budget(params.stateWritesPerS() * WRITES * 0.75, params.stateWritesPerS() * WRITES * 0.6, now);
+        this.submissions = new Budget(params.stateWritesPerS() * WRITES * 0.25 / params.members().size() + 1,
+            params.stateWritesPerS() * WRITES * 0.4 / params.members().size() + 1, now);
+        this.confirmedAt = now - 1_000_000;
+    }
+
+    static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    void start() {
+        acquire();
+        list();
+        loop.scheduleAtFixedRate(this::renew, params.nodeTtlMs() / 4, params.nodeTtlMs() / 4, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(() -> sync(ok -> { }), 1000, Math.max(500, params.reportMs() / 2), TimeUnit.MILLISECONDS);
+    }
+
+    /** How old the newest request is that the service answered. */
+    long ageMs() {
+        return now() - confirmedAt;
+    }
+
+    /** Whether the service refuses or doesn't answer, by the last requests. */
+    boolean failing() {
+        return failingSince >= 0 && now() - failingSince > 300;
+    }
+
+    private void worked() {
+        if (failing()) {
+            LOG.info("state service answers again after {} ms", now() - failingSince);
+        }
+        failingSince = -1;
+    }
+
+    private void failed(String what, HttpResult r) {
+        if (failingSince < 0) {
+            failingSince = now();
+            LOG.info("state service: {} failed, {} {}", what, r.outcome(), r.status());
+        }
+    }
+
+    private void after(long ms, Runnable run) {
+        loop.schedule(run, ms / 2 + ThreadLocalRandom.current().nextLong(ms / 2 + 1), TimeUnit.MILLISECONDS);
+    }
+
+    // ---- lease
+
+    private void acquire() {
+        http.call(host, HttpMethod.POST, "/holds", StateCodec.lease(params.nodeTtlMs()), TIMEOUT_MS, r -> {
+            if (!r.is(200)) {
+                failed("lease", r);
+                after(400, this::acquire);
+                return;
+            }
+            try {
+                lease = StateCodec.lease(r.body());
+                worked();
+                register();
+            } catch (IOException e) {
+                after(400, this::acquire);
+            }
+        });
+    }
+
+    /** Enters this process among the live ones; a late entry of an earlier process is overwritten. */
+    private void register() {
+        if (lease < 0 || registering || !mirror.loaded() || registered()) {
+            return;
+        }
+        registering = true;
+        long mine = lease;
+        String key = Keys.node(params.self());
+        NodeInfo info = new NodeInfo(params.self(), mine, params.zoneOfNode(params.self()));
+        send(new Txn().guard(key, mirror.stamp(key)).put(key, Records.node(info), mine), (result, ledger) -> {
+            registering = false;
+            if (result == Result.NO_LEASE && lease == mine) {
+                lost();
+            } else if (result == Result.OK) {
+                LOG.info("node {} is up as incarnation {}", params.self(), mine);
+            }
+            sync(ok -> register());
+        });
+    }
+
+    private boolean registered() {
+        NodeInfo n = mirror.node(params.self());
+        return n != null && n.incarnation() == lease;
+    }
+
+    private void lost() {
+        LOG.info("lease {} is lost", lease);
+        lease = -1;
+        listener.leased(-1);
+        acquire();
+    }
+
+    private void renew() {
+        if (lease < 0) {
+            return;
+        }
+        long mine = lease;
+        http.call(host, HttpMethod.POST, "/holds/" + mine + "/touch", null, params.nodeTtlMs() / 2, r -> {
+            if (mine != lease) {
+                return;
+            }
+            if (r.is(404)) {
+                lost();
+            } else if (r.is(200)) {
+                worked();
+            } else {
+                failed("renewal", r);
+            }
+        });
+    }
+
+    // ---- mirror
+
+    private void list() {
+        listing = true;
+        listPage("", new ArrayList<>(), -1);
+    }
+
+    private void listPage(String since, List<Change> sofar, long ledger) {
+        String path = "/keys?starts=" + Keys.MIRRORED + "&limit=" + PAGE + (since.isEmpty() ? "" : "&since=" + since);
+        long sentAt = now();
+        http.call(host, HttpMethod.GET, path, null, 2 * TIMEOUT_MS, r -> {
+            if (!r.is(200)) {
+                failed("listing", r);
+                after(500, () -> listPage(since, sofar, ledger));
+                return;
+            }
+            try {
+                StateCodec.Batch b = StateCodec.listing(r.body());
+                sofar.addAll(b.changes());
+                long first = ledger < 0 ? b.ledger() : ledger;
+                if (b.more() && !b.changes().isEmpty()) {
+                    listPage(b.changes().get(b.changes().size() - 1).key(), sofar, first);
+                    return;
+                }
+                worked();
+                mirror.reset(sofar, first);
+                listing = false;
+                LOG.info("mirror has {} keys as of revision {}", sofar.size(), first);
+                if (ledger < 0) {
+                    confirm(sentAt);
+                }
+                advanced();
+                watch();
+                drainSync();
+            } catch (IOException e) {
+                after(500, this::list);
+            }
+        });
+    }
+
+    private void advanced() {
+        boolean in = lease >= 0 && registered();
+        if (in && listenerLease != lease) {
+            listenerLease = lease;
+            listener.leased(lease);
+        }
+        if (!in) {
+            register();
+        }
+        listener.advanced();
+    }
+
+    private long listenerLease = -1;
+
+    private void confirm(long sentAt) {
+        confirmedAt = Math.max(confirmedAt, sentAt);
+        listener.confirmed(sentAt);
+    }
+
+    private void watch() {
+        if (listing) {
+            return;
+        }
+        long wait = watches.waitMs(now(), 1);
+        if (wait > 0) {
+            loop.schedule(this::watch, wait, TimeUnit.MILLISECONDS);
+            return;
+        }
+        watches.force(now(), 1);
+        follow(WATCH_MS, WATCH_MS + TIMEOUT_MS, ok -> {
+            if (!listing) {
+                if (ok) {
+                    watch();
+                } else {
+                    after(300, this::watch);
+                }
+            }
+        });
+    }
+
+    private void follow(long waitMs, long timeoutMs, Consumer<Boolean> done) {
+        long sentAt = now();
+        String path = "/follow?starts=" + Keys.MIRRORED + "&since=" + mirror.ledger() + "&wait_ms=" + waitMs;
+        http.call(host, HttpMethod.GET, path, null, timeoutMs, r -> {
+            if (r.is(410)) {
+                if (!listing) {
+                    list();
+                }
+                done.accept(false);
+                return;
+            }
+            if (!r.is(200)) {
+                failed("follow", r);
+                done.accept(false);
+                return;
+            }
+            try {
+                StateCodec.Batch b = StateCodec.log(r.body());
+                worked();
+                boolean news = !listing && mirror.advance(b.changes(), b.ledger()) && !b.changes().isEmpty();
+                // A mirror that is being listed anew isn't complete as of this answer.
+                if (!listing) {
+                    confirm(sentAt);
+                    if (news || listenerLease != lease) {
+                        advanced();
+                    }
+                }
+                done.accept(!listing);
+            } catch (IOException e) {
+                done.accept(false);
+            }
+        });
+    }
+
+    /** Calls back once the mirror is as new as a request sent after this call; false at once when it can't be. */
+    void sync(Consumer<Boolean> done) {
+        if (failing() && syncing) {
+            done.accept(false);
+            return;
+        }
+        waiting.add(done);
+        drainSync();
+    }
+
+    private void drainSync() {
+        if (syncing || syncQueued || waiting.isEmpty()) {
+            return;
+        }
+        if (listing) {
+            if (failing()) {
+                List<Consumer<Boolean>> batch = waiting;
+                waiting = new ArrayList<>();
+                batch.forEach(d -> d.accept(false));
+            }
+            return;
+        }
+        long wait = watches.waitMs(now(), 1);
+        if (wait > 0) {
+            syncQueued = true;
+            loop.schedule(() -> {
+                syncQueued = false;
+                drainSync();
+            }, wait, TimeUnit.MILLISECONDS);
+            return;
+        }
+        watches.force(now(), 1);
+        syncing = true;
+        List<Consumer<Boolean>> batch = waiting;
+        waiting = new ArrayList<>();
+        follow(0, 1500, ok -> {
+            syncing = false;
+            batch.forEach(d -> d.accept(ok));
+            drainSync();
+        });
+    }
+
+    // ---- reads and transactions
+
+    /** Reads one key: its value, null when it isn't there; the flag is false when nobody knows. */
+    void get(String key, BiConsumer<Boolean, Object> done) {
+        if (!reads.take(now(), 1)) {
+            done.accept(false, null);
+            return;
+        }
+        http.call(host, HttpMethod.GET, "/keys/" + key, null, 1500, r -> {
+            try {
+                if (r.is(200)) {
+                    done.accept(true, StateCodec.value(r.body()));
+                } else {
+                    done.accept(r.is(404), null);
+                }
+            } catch (IOException e) {
+                done.accept(false, null);
+            }
+        });
+    }
+
+    /** A leader's transaction; waits for its turn within the limits. */
+    void lead(Txn txn, BiConsumer<Result, Long> done) {
+        long wait = writes.waitMs(now(), txn.ops().size());
+        if (wait > 0) {
+            loop.schedule(() -> lead(txn, done), wait, TimeUnit.MILLISECONDS);
+            return;
+        }
+        writes.force(now(), txn.ops().size());
+        send(txn, done);
+    }
+
+    /** A user's transaction; refused at once when the limits are used up. */
+    void submit(Txn txn, BiConsumer<Result, Long> done) {
+        if (!submissions.take(now(), txn.ops().size())) {
+            done.accept(Result.REFUSED, -1L);
+            return;
+        }
+        send(txn, done);
+    }
+
+    /** A transaction that can't wait, such as an election. */
+    void send(Txn txn, BiConsumer<Result, Long> done) {
+        http.call(host, HttpMethod.POST, "/multi", StateCodec.txn(txn), TIMEOUT_MS, r -> {
+            try {
+                if (r.is(200)) {
+                    worked();
+                    done.accept(Result.OK, StateCodec.ledger(r.body()));
+                } else if (r.is(409)) {
+                    worked();
+                    done.accept(Result.CONFLICT, StateCodec.ledger(r.body()));
+                } else if (r.is(400)) {
+                    LOG.debug("refused as malformed: {}", txn);
+                    done.accept(Result.NO_LEASE, -1L);
+                } else if (r.outcome() == HttpResult.Outcome.NO_ANSWER || r.maybe()) {
+                    failed("transaction", r);
+                    done.accept(Result.MAYBE, -1L);
+                } else {
+                    if (!r.is(429)) {
+                        failed("transaction", r);
+                    } else {
+                        LOG.debug("state service: over the limit");
+                    }
+                    done.accept(Result.REFUSED, -1L);
+                }
+            } catch (IOException e) {
+                done.accept(Result.MAYBE, -1L);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/Params.java
@@ -0,0 +1,92 @@
+package garnetscale.core;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The figures that the core decides by. All times are milliseconds. What isn't a setting is a ratio to one; the
+ * ratios and their reasons are in docs/operations.md.
+ */
+public record Params(String self, List<Member> members, List<String> zones, Map<String, Team> teams,
+                     List<Objective> objectives, long reportMs, long leaseMs, long cancelMs, int txnOps,
+                     double stateRps, double stateWritesPerS, int valueBytes, double cloudRps, long listLagMs,
+                     int maxConnections, long clockOffMs) {
+
+    /** A controller node, this one included. */
+    public record Member(String name, String zone, String address) {
+    }
+
+    /** What a team is guaranteed and may use at most; a limit of infinity is none. */
+    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    }
+
+    /** An aim of the operators; fields that its kind has no use for are 0 or empty. */
+    public record Objective(String kind, String jobClass, double withinS, double share, double times) {
+    }
+
+    /** Twenty times the drift that PROTOCOL allows, plus what a busy process may be late by. */
+    public long driftMs(long span) {
+        return span / 100 + reportMs / 2;
+    }
+
+    /**
+     * How long a holder answers reports after sending the last request that confirmed its term. As long as it
+     * can be: the longer it is, the longer an outage may last without costing tasks. G + lease + margin stays
+     * below the time that a cancellation has, since a holder in its grace may not know of one.
+     */
+    public long graceMs() {
+        return Math.max(0, cancelMs - leaseMs - cancelMs / 16 - driftMs(cancelMs));
+    }
+
+    /** After a term was raised, a machine that nobody hears of has lost its tasks once this has passed. */
+    public long fenceMs() {
+        return graceMs() + leaseMs + driftMs(graceMs() + leaseMs);
+    }
+
+    /** A worker that was last answered this long ago has ended its session. */
+    public long silentMs() {
+        return leaseMs + driftMs(leaseMs);
+    }
+
+    /** Life of a node's state lease: a quarter of a worker's, so that a new holder is there well before it ends. */
+    public long nodeTtlMs() {
+        return Math.max(1000, leaseMs / 4);
+    }
+
+    /** How long the leader waits for better bids: a tenth of the tightest waiting objective, two seconds at most. */
+    public long windowMs() {
+        double tightest = 20.0;
+        for (Objective o : objectives) {
+            if (o.withinS() > 0 && (o.kind().equals("wait") || o.kind().equals("guarantee"))) {
+                tightest = Math.min(tightest, o.withinS());
+            }
+        }
+        return Math.round(tightest * 100);
+    }
+
+    public String zoneOfNode(String name) {
+        for (Member m : members) {
+            if (m.name().equals(name)) {
+                return m.zone();
+            }
+        }
+        return "";
+    }
+
+    public Member member(String name) {
+        for (Member m : members) {
+            if (m.name().equals(name)) {
+                return m;
+            }
+        }
+        return null;
+    }
+
+    /** Teams by name, in the order of the settings. */
+    public static Map<String, Team> byName(List<Team> teams) {
+        Map<String, Team> map = new LinkedHashMap<>();
+        teams.forEach(t -> map.put(t.name(), t));
+        return map;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/bid/Auction.java
@@ -0,0 +1,102 @@
+package garnetscale.core.bid;
+
+import garnetscale.core.block.BlockLease;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.Mirror;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The bids that the leader has, and when each job's window closes: once it is over, or early when every held
+ * block has bid with the job in sight, since then no better bid can come from a machine that has room now.
+ */
+public final class Auction {
+
+    private final Mirror mirror;
+    private final long windowMs;
+    private final Map<String, BidSheet> sheets = new HashMap<>();
+    private final Map<String, Long> openSince = new HashMap<>();
+    private Map<String, List<Bid>> byJob = new HashMap<>();
+
+    public Auction(Mirror mirror, long windowMs) {
+        this.mirror = mirror;
+        this.windowMs = windowMs;
+    }
+
+    public void clear() {
+        sheets.clear();
+        openSince.clear();
+        byJob.clear();
+    }
+
+    public void onSheet(long now, BidSheet sheet) {
+        BidSheet before = sheets.get(sheet.node());
+        if (before != null && before.incarnation() == sheet.incarnation() && before.ledger() > sheet.ledger()) {
+            return;
+        }
+        sheets.put(sheet.node(), sheet);
+        byJob = new HashMap<>();
+        for (BidSheet s : sheets.values()) {
+            for (Bid b : s.bids()) {
+                byJob.computeIfAbsent(b.job(), k -> new ArrayList<>()).add(b);
+            }
+        }
+        for (String job : byJob.keySet()) {
+            openSince.putIfAbsent(job, now);
+        }
+        openSince.keySet().retainAll(byJob.keySet());
+    }
+
+    /** Whether the job's bids may be judged now. */
+    public boolean closed(long now, JobView job) {
+        Long since = openSince.get(job.spec().id());
+        return since != null && (now - since >= windowMs || allHaveBid(job));
+    }
+
+    private boolean allHaveBid(JobView job) {
+        int speaking = 0;
+        for (BidSheet s : sheets.values()) {
+            if (s.ledger() >= job.stamp()) {
+                for (Map.Entry<String, Long> e : s.terms().entrySet()) {
+                    speaking += isCurrent(s, e.getKey(), e.getValue()) ? 1 : 0;
+                }
+            }
+        }
+        return speaking == mirror.blockCount();
+    }
+
+    private boolean isCurrent(BidSheet sheet, String block, long term) {
+        BlockLease lease = mirror.block(block);
+        return lease != null && lease.term() == term && lease.incarnation() == sheet.incarnation();
+    }
+
+    /** Whether the node that speaks for the block has bid under its present term. */
+    public boolean speaksFor(String block) {
+        BlockLease lease = mirror.block(block);
+        BidSheet s = lease == null ? null : sheets.get(lease.holder());
+        Long term = s == null ? null : s.terms().get(block);
+        return term != null && isCurrent(s, block, term);
+    }
+
+    /** Bids for a job, the earliest finish first. */
+    public List<Bid> bids(String job) {
+        List<Bid> list = new ArrayList<>(byJob.getOrDefault(job, List.of()));
+        list.sort(Comparator.comparingDouble(Bid::finishS));
+        return list;
+    }
+
+    /** Milliseconds until the next open window ends, or -1. */
+    public long nextClose(long now) {
+        long next = -1;
+        for (long since : openSince.values()) {
+            long left = since + windowMs - now;
+            if (left > 0 && (next < 0 || left < next)) {
+                next = left;
+            }
+        }
+        return next;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/bid/BidSheet.java
@@ -0,0 +1,12 @@
+package garnetscale.core.bid;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All bids of one holder's machines as of one revision; it replaces the holder's earlier sheet.
+ *
+ * @param terms the blocks that the holder speaks for, with their terms
+ */
+public record BidSheet(String node, long incarnation, long ledger, Map<String, Long> terms, List<Bid> bids) {
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -0,0 +1,549 @@
+package garnetscale.core.block;
+
+import garnetscale.core.Params;
+import garnetscale.core.bid.Bid;
+import garnetscale.core.bid.BidSheet;
+import garnetscale.core.bid.Estimator;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.line.Line;
+import garnetscale.core.machine.ExitCause;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Order;
+import garnetscale.core.machine.Placement;
+import garnetscale.core.machine.Report;
+import garnetscale.core.machine.ReportedTask;
+import garnetscale.core.machine.Room;
+import garnetscale.core.machine.TaskState;
+import garnetscale.core.quota.QuotaBook;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.Mirror;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The holder of this node's blocks: the only one that commands their machines. It brings each machine to what
+ * the stored placements say, tells the leader what it sees, and bids for its machines.
+ *
+ * <p>It acts by state, not by events: whatever was lost, late or repeated, the next report and the next revision
+ * lead to the same orders. An attempt that the store doesn't place is stopped and cleared, one that it places is
+ * started, and one that must not run any more is called gone only on proof (see {@link #proveGone}).
+ */
+public final class Holder {
+
+    /** How the holder answers a report. */
+    public sealed interface Reply {
+        record Answer(long token, List<Order> orders) implements Reply {
+        }
+
+        /** Another node is responsible; null when nobody is known to be. */
+        record Redirect(String node) implements Reply {
+        }
+
+        /** Not entitled to act at the moment, or the report was overtaken. */
+        record Refuse(String why) implements Reply {
+        }
+    }
+
+    /** What the holder wants done outside. */
+    public sealed interface Effect {
+        record Command(String machine, String address, long token, long shift, List<Order> orders) implements Effect {
+        }
+
+        record Tell(Observation observation) implements Effect {
+        }
+
+        record Offer(BidSheet sheet) implements Effect {
+        }
+    }
+
+    private record Held(long term, long since) {
+    }
+
+    /** Jobs of a line that a machine bids for at a time; more than enough to fill it between two sheets. */
+    private static final int HEADS = 8;
+
+    private final Params params;
+    private final Mirror mirror;
+    private final Blocks blocks;
+    private final Estimator estimator;
+    private final Map<String, Held> held = new TreeMap<>();
+    private final Map<String, MachineView> machines = new TreeMap<>();
+    private final List<Effect> effects = new ArrayList<>();
+    private long incarnation = -1;
+    private long confirmedAt = Long.MIN_VALUE / 2;
+    private BidSheet lastSheet;
+
+    public Holder(Params params, Mirror mirror, Blocks blocks, Estimator estimator) {
+        this.params = params;
+        this.mirror = mirror;
+        this.blocks = blocks;
+        this.estimator = estimator;
+    }
+
+    public List<Effect> drain() {
+        List<Effect> out = List.copyOf(effects);
+        effects.clear();
+        return out;
+    }
+
+    /** The process has a (new) state lease; what it held under an earlier one is no longer its own. */
+    public void incarnate(long lease) {
+        incarnation = lease;
+    }
+
+    /** The mirror is complete as of a request that was sent at this time. */
+    public void confirmed(long sentAt) {
+        confirmedAt = Math.max(confirmedAt, sentAt);
+    }
+
+    /**
+     * Whether this node may speak for its blocks. A holder that is cut off from the state service goes on for the
+     * grace, so that an outage kills no tasks, and no longer, since its blocks may have been given away and a
+     * cancellation may have been promised.
+     */
+    public boolean entitled(long now) {
+        return now - confirmedAt <= params.graceMs();
+    }
+
+    public int machineCount() {
+        return machines.size();
+    }
+
+    /** Follows the block leases; a new term means new tokens and nothing known of what an older one sent. */
+    private void refreshBlocks(long now) {
+        for (String block : blocks.all()) {
+            BlockLease lease = mirror.block(block);
+            Held mine = held.get(block);
+            boolean ours = lease != null && lease.holder().equals(params.self()) && lease.incarnation() == incarnation;
+            if (!ours && mine != null || ours && mine != null && mine.term() != lease.term()) {
+                held.remove(block);
+                machines.values().removeIf(m -> blockOf(m).equals(block));
+                mine = null;
+            }
+            if (ours && mine == null) {
+                held.put(block, new Held(lease.term(), now));
+            }
+        }
+    }
+
+    private String blockOf(MachineView m) {
+        return blocks.blockOf(m.id, m.last == null ? mirror.placedZone(m.id) : m.last.zone());
+    }
+
+    public Reply onReport(long now, Report r) {
+        refreshBlocks(now);
+        String block = blocks.blockOf(r.machine(), r.zone());
+        Held mine = held.get(block);
+        if (mine == null) {
+            BlockLease lease = mirror.block(block);
+            return new Reply.Redirect(lease == null || lease.holder().equals(params.self()) ? null : lease.holder());
+        }
+        if (!entitled(now)) {
+            return new Reply.Refuse("term not confirmed within the grace");
+        }
+        MachineView m = machines.computeIfAbsent(r.machine(), id -> new MachineView(id, Terms.firstToken(mine.term())));
+        if (!r.isNewerThan(m.last) || r.shift() <= m.lapsedShift) {
+            return new Reply.Refuse("report overtaken");
+        }
+        if (r.token() > m.token) {
+            if (Terms.blockTermOf(r.token()) != mine.term()) {
+                return new Reply.Refuse("the worker has seen a newer term");
+            }
+            m.token = r.token();
+        }
+        m.startsInAnswer.clear();
+        accept(now, m, r);
+        m.lastReportAt = now;
+        List<Order> orders = orders(now, m, mine, true);
+        m.answeredAt = now;
+        for (Order o : orders) {
+            if (o instanceof Order.Start s) {
+                m.startsInAnswer.add(s.attempt());
+            }
+        }
+        observe(now, m, mine, block);
+        return new Reply.Answer(m.token, orders);
+    }
+
+    /** A direct command was answered, with 200 or 409, by the worker's report. */
+    public void onCommandAnswer(long now, String machine, long token, Report r) {
+        MachineView m = machines.get(machine);
+        if (m == null || !m.commandInFlight) {
+            return;
+        }
+        m.commandInFlight = false;
+        if (r.isNewerThan(m.last) && r.shift() > m.lapsedShift) {
+            accept(now, m, r);
+        }
+        Held mine = held.get(blockOf(m));
+        if (mine != null) {
+            observe(now, m, mine, blockOf(m));
+        }
+    }
+
+    /**
+     * A direct command went unanswered: it may still arrive, minutes from now. From here on the machine gets a
+     * higher token, and nothing more is sent directly until a report shows it.
+     */
+    public void onCommandLost(long now, String machine, long token) {
+        MachineView m = machines.get(machine);
+        if (m == null || !m.commandInFlight) {
+            return;
+        }
+        m.commandInFlight = false;
+        m.lostToken = Math.max(m.lostToken, token);
+        raise(m, token);
+    }
+
+    /** Moves a machine's token above the given one; when a term's tokens are used up it stays where it is. */
+    private static void raise(MachineView m, long above) {
+        if (m.token <= above && Terms.sameTerm(above + 1, above)) {
+            m.token = above + 1;
+        }
+    }
+
+    /**
+     * Whether no start of the attempt can take effect any more that the newest report doesn't show already. A
+     * direct command may come late and may come twice, answered or not; only a worker that has seen a higher
+     * token than the command's refuses it. Without this a copy of a start that arrives after the clear would run
+     * the task a second time. Starts in the answer to a report are dropped after four seconds and so before the
+     * next report. What older holders sent is behind this term's first token.
+     */
+    private boolean settled(MachineView m, Held mine, long attempt) {
+        if (m.last.token() < Terms.firstToken(mine.term()) || m.startsInAnswer.contains(attempt)) {
+            return false;
+        }
+        Long sent = m.directStarts.get(attempt);
+        if (sent == null || m.last.token() > sent) {
+            return true;
+        }
+        raise(m, sent);
+        return false;
+    }
+
+    private void accept(long now, MachineView m, Report r) {
+        if (m.last != null && r.shift() > m.last.shift()) {
+            m.runningSince.clear();
+            m.startsInAnswer.clear();
+        }
+        Set<Long> seen = new HashSet<>();
+        for (ReportedTask t : r.tasks()) {
+            seen.add(t.attempt());
+            JobView job = mirror.job(t.task().job());
+            if (t.state() == TaskState.RUNNING) {
+                m.runningSince.putIfAbsent(t.attempt(), now);
+                if (job != null) {
+                    m.images.put(job.spec().image(), job.spec().imageGb());
+                }
+            } else if (t.exited() && t.cause() == ExitCause.DONE) {
+                Long since = m.runningSince.remove(t.attempt());
+                if (since != null && job != null) {
+                    estimator.completed(job.spec(), m.id, (now - since) / 1000.0);
+                }
+            }
+        }
+        m.runningSince.keySet().retainAll(seen);
+        m.directStarts.values().removeIf(token -> token < r.token());
+        m.stopsSent.keySet().retainAll(seen);
+        m.last = r;
+        trimImages(m);
+    }
+
+    private void trimImages(MachineView m) {
+        MachineType type = mirror.type(m.last.type());
+        if (type == null) {
+            return;
+        }
+        double sum = 0;
+        for (double gb : m.images.values()) {
+            sum += gb;
+        }
+        Iterator<Double> oldest = m.images.values().iterator();
+        while (sum > type.cacheGb() && oldest.hasNext()) {
+            sum -= oldest.next();
+            oldest.remove();
+        }
+    }
+
+    /**
+     * Finds placements that must not or can't run any more and surely don't: those of an earlier session, and
+     * unwanted ones that the newest report lacks while nothing that could still start them is under way.
+     */
+    private void proveGone(MachineView m, Held mine) {
+        List<Placement> placed = mirror.placements(m.id);
+        Set<Long> attempts = new HashSet<>();
+        for (Placement p : placed) {
+            attempts.add(p.attempt());
+            if (p.shift() <= m.lapsedShift || m.last != null && p.shift() < m.last.shift()) {
+                m.gone.add(p.attempt());
+                continue;
+            }
+            if (m.last == null || p.shift() != m.last.shift() || wanted(p) || m.last.find(p.attempt()) != null) {
+                continue;
+            }
+            if (settled(m, mine, p.attempt())) {
+                m.gone.add(p.attempt());
+            }
+        }
+        m.gone.retainAll(attempts);
+    }
+
+    private boolean wanted(Placement p) {
+        JobView job = mirror.job(p.task().job());
+        return job != null && job.live() && p.stop() == Placement.Stop.KEEP && !job.isFinished(p.task().index());
+    }
+
+    /** What brings the machine from its newest report to what is stored. */
+    private List<Order> orders(long now, MachineView m, Held mine, boolean answering) {
+        proveGone(m, mine);
+        List<Order> orders = new ArrayList<>();
+        Map<Long, Placement> placed = new HashMap<>();
+        for (Placement p : mirror.placements(m.id)) {
+            placed.put(p.attempt(), p);
+        }
+        for (ReportedTask t : m.last.tasks()) {
+            Placement p = placed.get(t.attempt());
+            if (t.exited()) {
+                if (p == null && answering && settled(m, mine, t.attempt())) {
+                    orders.add(new Order.Clear(t.task(), t.attempt()));
+                }
+            } else if (p == null || !wanted(p)) {
+                double grace = p != null && p.stop() == Placement.Stop.SAVE ? saveGrace(t) : 0;
+                if (t.state() != TaskState.SAVING || grace == 0) {
+                    orders.add(new Order.Stop(t.task(), t.attempt(), grace));
+                }
+            }
+        }
+        for (Placement p : placed.values()) {
+            if (wanted(p) && p.shift() == m.last.shift() && m.last.find(p.attempt()) == null
+                && !m.gone.contains(p.attempt()) && !m.startsInAnswer.contains(p.attempt())) {
+                orders.add(new Order.Start(p.task(), p.attempt()));
+            }
+        }
+        return orders;
+    }
+
+    private double saveGrace(ReportedTask t) {
+        JobView job = mirror.job(t.task().job());
+        return job == null || !job.live() || !job.spec().savesProgress() ? 0 : job.spec().saveS() * 1.5 + 1;
+    }
+
+    private boolean silent(long now, MachineView m) {
+        return now - m.lastReportAt > 2 * params.reportMs() + 2000;
+    }
+
+    /** Goes over all machines: sends what can't wait for a report, calls dead what is, tells and bids. */
+    public void tick(long now) {
+        refreshBlocks(now);
+        if (!entitled(now)) {
+            return;
+        }
+        adoptPlaced();
+        for (MachineView m : machines.values()) {
+            String block = blockOf(m);
+            Held mine = held.get(block);
+            if (mine == null) {
+                continue;
+            }
+            lapse(now, m, mine);
+            if (m.last != null && m.last.shift() > m.lapsedShift) {
+                for (Map.Entry<Long, Long> e : m.runningSince.entrySet()) {
+                    ReportedTask t = m.last.find(e.getKey());
+                    JobView job = t == null ? null : mirror.job(t.task().job());
+                    if (job != null) {
+                        estimator.stillRunning(job.spec(), m.id, (now - e.getValue()) / 1000.0);
+                    }
+                }
+                command(now, m, mine);
+            }
+            proveGone(m, mine);
+            observe(now, m, mine, block);
+        }
+        offer(now);
+    }
+
+    /** Machines with placements that nobody has heard of in this term still have to be proved dead or alive. */
+    private void adoptPlaced() {
+        for (String id : mirror.placedMachines()) {
+            if (!machines.containsKey(id)) {
+                Held mine = held.get(blocks.blockOf(id, mirror.placedZone(id)));
+                if (mine != null) {
+                    machines.put(id, new MachineView(id, Terms.firstToken(mine.term())));
+                }
+            }
+        }
+    }
+
+    /**
+     * Ends the session of a machine that can't have been answered for its whole lease. Until the worker has shown
+     * this term's token an older holder may have answered it for the grace, hence the longer time.
+     */
+    private void lapse(long now, MachineView m, Held mine) {
+        boolean ours = m.last != null && m.last.token() >= Terms.firstToken(mine.term());
+        long until = Math.max(m.answeredAt + params.silentMs(), ours ? Long.MIN_VALUE : mine.since() + params.fenceMs());
+        if (m.last == null) {
+            until = mine.since() + params.fenceMs();
+        }
+        if (now <= until) {
+            return;
+        }
+        long shift = m.last == null ? Long.MAX_VALUE : m.last.shift();
+        if (m.last == null) {
+            // Never heard of in this term: whatever its session is, the stored placements are of it or older.
+            for (Placement p : mirror.placements(m.id)) {
+                m.gone.add(p.attempt());
+            }
+        } else if (m.lapsedShift < shift) {
+            m.lapsedShift = shift;
+            m.images.clear();
+        }
+    }
+
+    private void command(long now, MachineView m, Held mine) {
+        if (m.commandInFlight || silent(now, m) || m.last.token() < Terms.firstToken(mine.term())
+            || m.lostToken >= m.last.token() || !Terms.sameTerm(m.token + 1, m.token)) {
+            return;
+        }
+        List<Order> orders = orders(now, m, mine, false);
+        orders.removeIf(o -> o instanceof Order.Stop && m.stopsSent.getOrDefault(o.attempt(), 0L) > now - 2 * params.reportMs());
+        if (orders.isEmpty()) {
+            return;
+        }
+        for (Order o : orders) {
+            if (o instanceof Order.Start) {
+                m.directStarts.put(o.attempt(), m.token);
+            } else {
+                m.stopsSent.put(o.attempt(), now);
+            }
+        }
+        m.commandInFlight = true;
+        effects.add(new Effect.Command(m.id, m.last.address(), m.token, m.last.shift(), orders));
+    }
+
+    private void observe(long now, MachineView m, Held mine, String block) {
+        if (m.last == null && m.gone.isEmpty()) {
+            return;
+        }
+        Report r = m.last;
+        boolean silent = r == null || silent(now, m) || r.shift() <= m.lapsedShift;
+        List<Long> gone = List.copyOf(m.gone);
+        boolean news = !gone.isEmpty();
+        if (r != null) {
+            for (Placement p : mirror.placements(m.id)) {
+                ReportedTask t = r.find(p.attempt());
+                news |= t != null && t.exited();
+            }
+        }
+        Observation o = r == null
+            ? new Observation(params.self(), incarnation, block, mine.term(), m.id, "", "", "", false, 0, null, true,
+                List.of(), gone)
+            : new Observation(params.self(), incarnation, block, mine.term(), m.id, r.address(), r.type(), r.zone(),
+                r.spot(), r.shift(), r.noticeS(), silent, r.tasks(), gone);
+        int hash = o.hashCode();
+        // Repeats what the leader hasn't acted on yet: the first telling may have been lost with its connection.
+        if (hash != m.observedHash || news && now - m.observedAt > 2000) {
+            m.observedHash = hash;
+            m.observedAt = now;
+            effects.add(new Effect.Tell(o));
+        }
+    }
+
+    /** Tells everything again, for a leader that is new or whose connection is. */
+    public void retell(long now) {
+        machines.values().forEach(m -> m.observedHash = 0);
+        lastSheet = null;
+        tick(now);
+    }
+
+    private void offer(long now) {
+        Map<String, Long> terms = new TreeMap<>();
+        held.forEach((b, h) -> terms.put(b, h.term()));
+        if (terms.isEmpty()) {
+            return;
+        }
+        List<Bid> bids = new ArrayList<>();
+        List<JobView> waiting = Line.sort(mirror.jobs(), wallMs(now));
+        if (!waiting.isEmpty()) {
+            QuotaBook quota = QuotaBook.of(params, mirror);
+            waiting.removeIf(j -> !quota.allows(j.spec()));
+            for (MachineView m : machines.values()) {
+                bid(now, m, waiting, bids);
+            }
+        }
+        BidSheet sheet = new BidSheet(params.self(), incarnation, mirror.ledger(), terms, bids);
+        if (lastSheet == null || !lastSheet.bids().equals(bids) || !lastSheet.terms().equals(terms)
+            || !waiting.isEmpty() && lastSheet.ledger() != sheet.ledger()) {
+            lastSheet = sheet;
+            effects.add(new Effect.Offer(sheet));
+        }
+    }
+
+    private void bid(long now, MachineView m, List<JobView> waiting, List<Bid> bids) {
+        Report r = m.last;
+        MachineType type = r == null ? null : mirror.type(r.type());
+        if (type == null || silent(now, m) || r.shift() <= m.lapsedShift || r.noticeS() != null) {
+            return;
+        }
+        Room room = new Room(type);
+        for (Placement p : mirror.placements(m.id)) {
+            JobView job = mirror.job(p.task().job());
+            if (job != null) {
+                room.take(job.spec());
+            }
+        }
+        for (ReportedTask t : r.tasks()) {
+            if (!t.exited() && !isPlaced(m.id, t.attempt())) {
+                JobView job = mirror.job(t.task().job());
+                if (job != null) {
+                    room.take(job.spec());
+                }
+            }
+        }
+        int heads = 0;
+        for (JobView job : new Line(waiting, type, r.zone(), r.spot()).jobs()) {
+            JobSpec spec = job.spec();
+            int slots = Math.min(room.slots(spec), job.unstarted());
+            if (slots > 0) {
+                double fetch = m.images.containsKey(spec.image()) ? 0 : Estimator.fetchS(spec, type);
+                double finish = fetch + estimator.runS(spec, m.id);
+                // Tenths of a second, so that a sheet changes only when something has.
+                bids.add(new Bid(m.id, r.shift(), spec.id(), slots, Math.round(finish * 10) / 10.0));
+            }
+            if (++heads >= HEADS) {
+                break;
+            }
+        }
+    }
+
+    private boolean isPlaced(String machine, long attempt) {
+        for (Placement p : mirror.placements(machine)) {
+            if (p.attempt() == attempt) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private long wallOffset;
+
+    /** The difference between the time of day, which job records carry, and the steady clock. */
+    public void wallClock(long offset) {
+        wallOffset = offset;
+    }
+
+    private long wallMs(long now) {
+        return now + wallOffset;
+    }
+
+    /** Machines in this node's blocks, for inspection. */
+    public Collection<String> machineNames() {
+        return machines.keySet();
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/block/MachineView.java
@@ -0,0 +1,45 @@
+package garnetscale.core.block;
+
+import garnetscale.core.machine.Report;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** What a holder knows of one machine, and what it has told it, within one block term. */
+final class MachineView {
+
+    final String id;
+    /** The newest report, also from answers to direct commands. */
+    Report last;
+    long lastReportAt;
+    /** When a report of the current session was last answered with 200; the worker's lease ends after that. */
+    long answeredAt;
+    /** The token that this machine gets now; raised within the term when a command may arrive late. */
+    long token;
+    /** The highest token of a direct command that went unanswered, or -1. */
+    long lostToken = -1;
+    boolean commandInFlight;
+    /** Sessions up to this one are known to have ended. */
+    long lapsedShift = -1;
+    /** Starts given in the answer to the newest report: the worker may have taken or dropped them. */
+    final Set<Long> startsInAnswer = new HashSet<>();
+    /** The token under which an attempt's start was last sent directly; such a command may come late or twice. */
+    final Map<Long, Long> directStarts = new HashMap<>();
+    /** Attempts of placements that will never be started here, told to the leader until it has freed them. */
+    final Set<Long> gone = new HashSet<>();
+    /** When each running attempt was first seen to run, for the estimates. */
+    final Map<Long, Long> runningSince = new HashMap<>();
+    /** Images that were here, the latest last, with their sizes. */
+    final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+    /** When a direct stop was last sent for an attempt, so that it is not sent with every change. */
+    final Map<Long, Long> stopsSent = new HashMap<>();
+    int observedHash;
+    long observedAt = Long.MIN_VALUE / 2;
+
+    MachineView(String id, long token) {
+        this.id = id;
+        this.token = token;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -0,0 +1,353 @@
+package garnetscale.core.fleet;
+
+import garnetscale.core.Params;
+import garnetscale.core.block.Observation;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.line.Line;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Placement;
+import garnetscale.core.quota.QuotaBook;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.Mirror;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Rents and returns machines, for the leader. One call to the cloud is under way at a time; what to do next is
+ * worked out from the demand that the mirror shows and the machines that are there or coming.
+ */
+public final class Fleet {
+
+    private record Offer(String type, String zone, boolean spot) {
+    }
+
+    private static final class Refusal {
+        long until;
+        int inARow;
+    }
+
+    /** Free room to keep, as a share of what runs: new jobs should not have to wait for a boot. */
+    private static final double HEADROOM = 0.5;
+    /** A boot that takes this many times its usual length is given up; some take several times as long. */
+    private static final double STUCK = 4;
+    private static final int RENT_AT_ONCE = 50;
+    private static final int DELETE_AT_ONCE = 100;
+
+    private final Params params;
+    private final Mirror mirror;
+    private final Consumer<String> log;
+    private final Map<String, Listed> listed = new TreeMap<>();
+    private final Map<String, Long> listedAt = new HashMap<>();
+    /** Rented by this leader and not listed yet. */
+    private final Map<String, Listed> fresh = new LinkedHashMap<>();
+    private final Map<String, Long> freshAt = new HashMap<>();
+    private final Set<String> deleted = new HashSet<>();
+    private final Map<Offer, Refusal> refusals = new HashMap<>();
+    private final Map<String, Long> idleSince = new HashMap<>();
+    private final Deque<CloudCall> urgent = new ArrayDeque<>();
+    private List<MachineType> prices = List.of();
+    private List<Listed> pages = new ArrayList<>();
+    private boolean everListed;
+    private long listAt = Long.MIN_VALUE / 2;
+    private long typesAt = Long.MIN_VALUE / 2;
+    private long rentAt = Long.MIN_VALUE / 2;
+    private long startedAt;
+    private long term;
+    private int sequence;
+
+    public Fleet(Params params, Mirror mirror, Consumer<String> log) {
+        this.params = params;
+        this.mirror = mirror;
+        this.log = log;
+    }
+
+    /** A new leader starts from the cloud's list; what an earlier one had under way shows there. */
+    public void start(long now, long leaderTerm) {
+        term = leaderTerm;
+        startedAt = now;
+        sequence = 0;
+        listed.clear();
+        listedAt.clear();
+        fresh.clear();
+        freshAt.clear();
+        deleted.clear();
+        idleSince.clear();
+        urgent.clear();
+        pages = new ArrayList<>();
+        everListed = false;
+        listAt = Long.MIN_VALUE / 2;
+        rentAt = Long.MIN_VALUE / 2;
+    }
+
+    /** The time between two calls, so that the cloud never has to refuse one. */
+    public long spacingMs() {
+        return Math.round(1200 / params.cloudRps());
+    }
+
+    /** The next call to make, or null. */
+    public CloudCall next(long now, Collection<Observation> reporting) {
+        if (!urgent.isEmpty()) {
+            return urgent.poll();
+        }
+        if (prices.isEmpty() || now - typesAt > 60_000) {
+            typesAt = now;
+            return new CloudCall.Types();
+        }
+        if (now - listAt > Math.max(2000, params.listLagMs() / 2)) {
+            listAt = now;
+            pages = new ArrayList<>();
+            return new CloudCall.Page("");
+        }
+        if (!everListed) {
+            return null;
+        }
+        Map<String, Observation> known = new HashMap<>();
+        reporting.forEach(o -> known.put(o.machine(), o));
+        CloudCall delete = delete(now, known);
+        return delete != null ? delete : rent(now, known);
+    }
+
+    public void onTypes(List<MachineType> types) {
+        prices = types;
+    }
+
+    /** A page came; a full one asks for the next. */
+    public void onPage(long now, List<Listed> page, boolean more) {
+        pages.addAll(page);
+        if (more && !page.isEmpty()) {
+            urgent.addFirst(new CloudCall.Page(page.get(page.size() - 1).id()));
+            return;
+        }
+        everListed = true;
+        listed.clear();
+        for (Listed m : pages) {
+            if (!deleted.contains(m.id())) {
+                listed.put(m.id(), m);
+                listedAt.putIfAbsent(m.id(), now);
+                fresh.remove(m.id());
+            }
+        }
+        fresh.keySet().removeIf(id -> now - freshAt.get(id) > 3 * params.listLagMs() + 60_000);
+    }
+
+    /** Machines that the cloud lists as failed: nothing is on them. */
+    public List<String> failed() {
+        return listed.values().stream().filter(m -> m.state() == Listed.State.FAILED).map(Listed::id).toList();
+    }
+
+    public void onRented(long now, CloudCall.Rent r, List<String> ids) {
+        for (String id : ids) {
+            fresh.put(id, new Listed(id, "", r.type(), r.zone(), r.spot(), Listed.State.BOOTING, 0));
+            freshAt.put(id, now);
+        }
+        log.accept("rented " + ids.size() + " of " + r.count() + " " + describe(r));
+        if (ids.size() < r.count()) {
+            refuse(now, r);
+        } else {
+            refusals.remove(new Offer(r.type(), r.zone(), r.spot()));
+        }
+    }
+
+    public void onRefused(long now, CloudCall.Rent r) {
+        refuse(now, r);
+    }
+
+    private void refuse(long now, CloudCall.Rent r) {
+        Refusal f = refusals.computeIfAbsent(new Offer(r.type(), r.zone(), r.spot()), k -> new Refusal());
+        f.inARow++;
+        f.until = now + Math.min(30_000, 4000L << Math.min(3, f.inARow - 1));
+        if (f.inARow == 1) {
+            log.accept("no more capacity for " + describe(r));
+        }
+    }
+
+    private static String describe(CloudCall.Rent r) {
+        return r.type() + " in " + r.zone() + (r.spot() ? ", spot" : ", ordinary");
+    }
+
+    public void onDeleted(List<String> ids) {
+        deleted.addAll(ids);
+        ids.forEach(id -> {
+            listed.remove(id);
+            fresh.remove(id);
+            idleSince.remove(id);
+        });
+    }
+
+    private CloudCall delete(long now, Map<String, Observation> known) {
+        List<String> ids = new ArrayList<>();
+        for (Listed m : listed.values()) {
+            MachineType type = type(m.type());
+            double bootS = type == null ? 60 : type.bootS();
+            double ageS = m.ageS() + (now - listedAt.getOrDefault(m.id(), now)) / 1000.0;
+            Observation o = known.get(m.id());
+            if (m.state() == Listed.State.FAILED) {
+                ids.add(m.id());
+            } else if (o == null && m.state() == Listed.State.BOOTING && ageS > STUCK * bootS + 10) {
+                log.accept("machine " + m.id() + " is not up after " + Math.round(ageS) + " s and is given up");
+                ids.add(m.id());
+            } else if (m.state() == Listed.State.RUNNING && (o == null || o.silent())
+                && now - startedAt > params.fenceMs() && silentFor(now, m.id(), o)) {
+                log.accept("machine " + m.id() + " stays silent and is given up");
+                ids.add(m.id());
+            }
+        }
+        ids.removeIf(deleted::contains);
+        if (ids.size() > DELETE_AT_ONCE) {
+            ids = ids.subList(0, DELETE_AT_ONCE);
+        }
+        return ids.isEmpty() ? null : new CloudCall.Delete(List.copyOf(ids));
+    }
+
+    private final Map<String, Long> silentSince = new HashMap<>();
+
+    private boolean silentFor(long now, String id, Observation o) {
+        return now - silentSince.computeIfAbsent(id, k -> now) > 2 * params.leaseMs() + 10_000;
+    }
+
+    private CloudCall rent(long now, Map<String, Observation> known) {
+        silentSince.keySet().removeIf(id -> known.get(id) != null && !known.get(id).silent());
+        if (mirror.types().isEmpty()) {
+            return null;
+        }
+        List<Supply> supply = supply(known);
+        QuotaBook quota = QuotaBook.of(params, mirror);
+        Map<Offer, Integer> wanted = new LinkedHashMap<>();
+        for (JobView job : Line.sort(mirror.jobs(), now)) {
+            int tasks = 0;
+            while (tasks < job.unstarted() && quota.allows(job.spec())) {
+                quota.add(job.spec(), 1);
+                tasks++;
+            }
+            cover(now, job.spec(), tasks, supply, wanted);
+        }
+        for (JobView job : mirror.jobs()) {
+            if (job.live()) {
+                int tasks = (int) Math.ceil(HEADROOM * job.placedCount());
+                cover(now, job.spec(), tasks, supply, wanted);
+            }
+        }
+        if (now - rentAt >= 1000) {
+            for (Map.Entry<Offer, Integer> e : wanted.entrySet()) {
+                rentAt = now;
+                Offer o = e.getKey();
+                return new CloudCall.Rent("r-" + term + "-" + ++sequence, o.type(), o.zone(), o.spot(),
+                    Math.min(RENT_AT_ONCE, e.getValue()));
+            }
+        }
+        return giveBack(now, supply, known);
+    }
+
+    private List<Supply> supply(Map<String, Observation> known) {
+        List<Supply> list = new ArrayList<>();
+        for (Observation o : known.values()) {
+            MachineType type = mirror.type(o.type());
+            if (type != null && !o.silent() && o.noticeS() == null) {
+                Supply s = new Supply(o.machine(), type, o.zone(), o.spot());
+                for (Placement p : mirror.placements(o.machine())) {
+                    JobView job = mirror.job(p.task().job());
+                    if (job != null) {
+                        s.room.take(job.spec());
+                        s.used = true;
+                    }
+                }
+                list.add(s);
+            }
+        }
+        for (Listed m : listed.values()) {
+            addComing(m, known, list);
+        }
+        for (Listed m : fresh.values()) {
+            addComing(m, known, list);
+        }
+        return list;
+    }
+
+    private void addComing(Listed m, Map<String, Observation> known, List<Supply> list) {
+        MachineType type = mirror.type(m.type());
+        if (type != null && m.state() != Listed.State.FAILED && !known.containsKey(m.id())) {
+            Supply s = new Supply(m.id(), type, m.zone(), m.spot());
+            s.used = true;
+            list.add(s);
+        }
+    }
+
+    private void cover(long now, JobSpec job, int tasks, List<Supply> supply, Map<Offer, Integer> wanted) {
+        int left = tasks;
+        for (Supply s : supply) {
+            if (left == 0) {
+                return;
+            }
+            left -= s.fill(job, left);
+        }
+        while (left > 0) {
+            Offer best = null;
+            double bestCost = Double.MAX_VALUE;
+            for (MachineType type : prices) {
+                for (String zone : type.zones()) {
+                    for (boolean spot : new boolean[] {true, false}) {
+                        Offer o = new Offer(type.name(), zone, spot);
+                        Refusal r = refusals.get(o);
+                        boolean open = r == null || now >= r.until;
+                        Supply s = new Supply("", type, zone, spot);
+                        int slots = s.room.slots(job);
+                        if (open && slots > 0 && s.allows(job)) {
+                            double price = spot ? type.spotPrice() : type.price();
+                            double cost = price / Math.min(slots, left) * (1 + type.bootS() / 60);
+                            if (cost < bestCost) {
+                                bestCost = cost;
+                                best = o;
+                            }
+                        }
+                    }
+                }
+            }
+            if (best == null || wanted.getOrDefault(best, 0) >= RENT_AT_ONCE) {
+                return;
+            }
+            wanted.merge(best, 1, Integer::sum);
+            Supply s = new Supply("", type(best.type()), best.zone(), best.spot());
+            supply.add(s);
+            left -= s.fill(job, left);
+        }
+    }
+
+    /** Returns a machine that the demand has had no use for during a while: a few boots, so that bursts don't churn. */
+    private CloudCall giveBack(long now, List<Supply> supply, Map<String, Observation> known) {
+        String longest = null;
+        for (Supply s : supply) {
+            if (s.used || !known.containsKey(s.id)) {
+                idleSince.remove(s.id);
+                continue;
+            }
+            long since = idleSince.computeIfAbsent(s.id, k -> now);
+            if (now - since > 1000 * (60 + 4 * s.type.bootS()) && (longest == null || since < idleSince.get(longest))) {
+                longest = s.id;
+            }
+        }
+        if (longest == null) {
+            return null;
+        }
+        log.accept("machine " + longest + " is idle and is returned");
+        return new CloudCall.Delete(List.of(longest));
+    }
+
+    private MachineType type(String name) {
+        for (MachineType t : prices) {
+            if (t.name().equals(name)) {
+                return t;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/fleet/Listed.java
@@ -0,0 +1,9 @@
+package garnetscale.core.fleet;
+
+/** A machine as the cloud lists it; the list is late, and may be older than the one before. */
+public record Listed(String id, String address, String type, String zone, boolean spot, State state, double ageS) {
+
+    public enum State {
+        BOOTING, RUNNING, FAILED
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -0,0 +1,129 @@
+package garnetscale.core.lead;
+
+import garnetscale.core.bid.Auction;
+import garnetscale.core.bid.Bid;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.TaskId;
+import garnetscale.core.line.Line;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Placement;
+import garnetscale.core.machine.Room;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.Mirror;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Gives waiting tasks to the best bids, jobs in line order. Every restriction is checked again here against the
+ * draft, whatever a bid says: a bid is an offer as of an older revision.
+ */
+final class Awards {
+
+    private final Mirror mirror;
+    private final Auction auction;
+    private final Map<String, MachineState> machines;
+    private final int perMachine;
+    private final Map<String, Room> rooms = new HashMap<>();
+    /** Tasks of a job by zone, for jobs that are bound by where their other tasks are. */
+    private final Map<String, Map<String, Integer>> zonesOfJob = new HashMap<>();
+
+    Awards(Mirror mirror, Auction auction, Map<String, MachineState> machines, int perMachine) {
+        this.mirror = mirror;
+        this.auction = auction;
+        this.machines = machines;
+        this.perMachine = perMachine;
+    }
+
+    /** Adds awards to the draft; returns how many. */
+    int award(long now, long wallMs, Draft draft, Predicate<JobView> ready, LongSupplier attempts) {
+        int awarded = 0;
+        List<JobView> waiting = Line.sort(mirror.jobs(), wallMs);
+        for (JobView job : waiting) {
+            if (!ready.test(job) || !auction.closed(now, job)) {
+                continue;
+            }
+            int next = job.nextUnstarted(0);
+            for (Bid bid : auction.bids(job.spec().id())) {
+                if (next < 0 || !draft.quota().allows(job.spec())) {
+                    break;
+                }
+                MachineState m = machines.get(bid.machine());
+                if (!usable(now, m, bid) || !allowed(m, job.spec())) {
+                    continue;
+                }
+                Room room = rooms.computeIfAbsent(m.id, id -> roomOf(draft, m));
+                for (int i = 0; i < bid.slots() && next >= 0; i++) {
+                    if (!room.fits(job.spec()) || !draft.quota().allows(job.spec()) || !zoneAllows(draft, job, m)
+                        || draft.placements(m.id).size() >= perMachine || !draft.hasRoomFor(m.id, 0)) {
+                        break;
+                    }
+                    Placement p = new Placement(new TaskId(job.spec().id(), next), attempts.getAsLong(), bid.shift(),
+                        Placement.Stop.KEEP);
+                    draft.place(m.id, m.last.zone(), p, job.spec());
+                    room.take(job.spec());
+                    if (bound(job.spec())) {
+                        zones(draft, job).merge(m.last.zone(), 1, Integer::sum);
+                    }
+                    awarded++;
+                    next = job.nextUnstarted(next + 1);
+                }
+            }
+        }
+        return awarded;
+    }
+
+    private boolean usable(long now, MachineState m, Bid bid) {
+        return m != null && m.last != null && !m.last.silent() && m.last.noticeS() == null
+            && m.last.shift() == bid.shift() && now >= m.avoidUntil && mirror.type(m.last.type()) != null
+            && auction.speaksFor(m.last.block());
+    }
+
+    private boolean allowed(MachineState m, JobSpec job) {
+        MachineType type = mirror.type(m.last.type());
+        return type.fits(job) && job.allowsZone(m.last.zone()) && (!m.last.spot() || job.spot());
+    }
+
+    private Room roomOf(Draft draft, MachineState m) {
+        Room room = new Room(mirror.type(m.last.type()));
+        for (Placement p : draft.placements(m.id)) {
+            JobView job = mirror.job(p.task().job());
+            if (job != null) {
+                room.take(job.spec());
+            }
+        }
+        return room;
+    }
+
+    private static boolean bound(JobSpec job) {
+        return job.oneZone() || job.spread();
+    }
+
+    private boolean zoneAllows(Draft draft, JobView job, MachineState m) {
+        if (!bound(job.spec())) {
+            return true;
+        }
+        Map<String, Integer> zones = zones(draft, job);
+        int here = zones.getOrDefault(m.last.zone(), 0);
+        if (job.spec().oneZone() && zones.values().stream().mapToInt(Integer::intValue).sum() != here) {
+            return false;
+        }
+        return !job.spec().spread() || here + 1 <= (job.spec().tasks() + 1) / 2;
+    }
+
+    private Map<String, Integer> zones(Draft draft, JobView job) {
+        return zonesOfJob.computeIfAbsent(job.spec().id(), id -> {
+            Map<String, Integer> count = new HashMap<>();
+            for (String machine : mirror.placedMachines()) {
+                for (Placement p : draft.placements(machine)) {
+                    if (p.task().job().equals(id)) {
+                        count.merge(mirror.placedZone(machine), 1, Integer::sum);
+                    }
+                }
+            }
+            return count;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -0,0 +1,339 @@
+package garnetscale.core.lead;
+
+import garnetscale.core.Params;
+import garnetscale.core.bid.Auction;
+import garnetscale.core.bid.BidSheet;
+import garnetscale.core.block.BlockLease;
+import garnetscale.core.block.Blocks;
+import garnetscale.core.block.LeaderInfo;
+import garnetscale.core.block.NodeInfo;
+import garnetscale.core.block.Observation;
+import garnetscale.core.block.Terms;
+import garnetscale.core.machine.ExitCause;
+import garnetscale.core.machine.Placement;
+import garnetscale.core.machine.ReportedTask;
+import garnetscale.core.quota.QuotaBook;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Mirror;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.Txn;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * The leader: leases blocks, takes bids, keeps quotas and awards; the only writer of placements and finished
+ * sets. It has at most one transaction under way, and drafts each from the mirror alone plus what the holders
+ * have told it, so that a lost answer costs a fresh look and nothing else.
+ */
+public final class Leader {
+
+    private record Exit(String machine, String block, long term, ReportedTask task) {
+    }
+
+    private final Params params;
+    private final Mirror mirror;
+    private final Blocks blocks;
+    private final Auction auction;
+    private final Consumer<String> log;
+    private final Map<String, MachineState> machines = new TreeMap<>();
+    private final Map<Long, Exit> exits = new HashMap<>();
+    /** Attempts that a holder calls gone, with the block term that it says so under. */
+    private final Map<Long, Exit> gone = new HashMap<>();
+    /** Machines that the cloud says are gone for good. */
+    private final Set<String> dead = new HashSet<>();
+    private final Map<String, Long> nodeSince = new HashMap<>();
+    private final Failures failures = new Failures();
+    private long incarnation = -1;
+    private LeaderInfo acting;
+    private long actingSince;
+    private int sequence;
+    private int blockSequence;
+    private long wallOffset;
+
+    public Leader(Params params, Mirror mirror, Blocks blocks, Consumer<String> log) {
+        this.params = params;
+        this.mirror = mirror;
+        this.blocks = blocks;
+        this.log = log;
+        this.auction = new Auction(mirror, params.windowMs());
+    }
+
+    public void incarnate(long lease) {
+        incarnation = lease;
+    }
+
+    public void wallClock(long offset) {
+        wallOffset = offset;
+    }
+
+    /** The term that this process leads under by the mirror, or -1. */
+    public long leadingTerm() {
+        LeaderInfo l = mirror.leader();
+        return l != null && l.node().equals(params.self()) && l.incarnation() == incarnation ? l.term() : -1;
+    }
+
+    /** What the holders last said of each machine. */
+    public Collection<Observation> machines() {
+        List<Observation> list = new ArrayList<>(machines.size());
+        machines.values().forEach(m -> list.add(m.last));
+        return list;
+    }
+
+    /** Takes up leadership when the mirror says so, and drops all that was known under an earlier term. */
+    public boolean leads(long now) {
+        long term = leadingTerm();
+        if (term < 0) {
+            acting = null;
+            return false;
+        }
+        if (acting == null || acting.term() != term) {
+            acting = mirror.leader();
+            actingSince = now;
+            sequence = 0;
+            blockSequence = 0;
+            machines.clear();
+            exits.clear();
+            gone.clear();
+            dead.clear();
+            nodeSince.clear();
+            auction.clear();
+            log.accept("leads under term " + term);
+        }
+        return true;
+    }
+
+    /**
+     * The transaction that makes this node the leader, or null when there is one. The term comes from a counter
+     * that the same transaction raises, so no two leaders share one.
+     */
+    public Txn election() {
+        LeaderInfo l = mirror.leader();
+        boolean stale = l != null && l.node().equals(params.self()) && l.incarnation() != incarnation;
+        if (l != null && !stale) {
+            return null;
+        }
+        // A leader key of this node's earlier process is replaced at once: a node runs one process at a time.
+        long term = mirror.termCounter() + 1;
+        return new Txn().guard(Keys.LEADER, mirror.stamp(Keys.LEADER)).guard(Keys.TERM, mirror.stamp(Keys.TERM))
+            .put(Keys.TERM, Records.term(term))
+            .put(Keys.LEADER, Records.leader(new LeaderInfo(params.self(), incarnation, term)), incarnation);
+    }
+
+    /**
+     * A transaction that changes nothing but the leader key's stamp. Sent after one whose outcome is unknown: once
+     * it is in, the unknown one has either been applied, and the mirror will show it, or never will be.
+     */
+    public Txn fence() {
+        return new Txn().guard(Keys.LEADER, mirror.stamp(Keys.LEADER))
+            .put(Keys.LEADER, Records.leader(mirror.leader()), incarnation);
+    }
+
+    public void onObservation(long now, Observation o) {
+        BlockLease lease = mirror.block(o.block());
+        if (acting == null || lease == null || lease.term() != o.term() || lease.incarnation() != o.incarnation()) {
+            return;
+        }
+        for (long attempt : o.gone()) {
+            gone.put(attempt, new Exit(o.machine(), o.block(), o.term(), null));
+        }
+        if (o.type().isEmpty()) {
+            return;
+        }
+        MachineState m = machines.computeIfAbsent(o.machine(), MachineState::new);
+        m.last = o;
+        m.seen = now;
+        for (ReportedTask t : o.tasks()) {
+            if (t.exited()) {
+                exits.put(t.attempt(), new Exit(o.machine(), o.block(), o.term(), t));
+            }
+        }
+    }
+
+    public void onBids(long now, BidSheet sheet) {
+        if (acting != null) {
+            auction.onSheet(now, sheet);
+        }
+    }
+
+    /** The cloud answered a delete with 200, or lists the machine as failed: nothing is on it any more. */
+    public void onMachineDead(String machine) {
+        dead.add(machine);
+        machines.remove(machine);
+    }
+
+    /** The next transaction, or null when there is nothing to change. */
+    public Txn plan(long now) {
+        if (!leads(now)) {
+            return null;
+        }
+        Txn leases = leaseBlocks(now);
+        if (leases != null) {
+            return leases;
+        }
+        Draft draft = new Draft(mirror, QuotaBook.of(params, mirror), params.txnOps());
+        settle(now, draft);
+        int perMachine = Math.max(8, params.valueBytes() / 64);
+        new Awards(mirror, auction, machines, perMachine).award(now, now + wallOffset, draft,
+            job -> failures.mayStart(now, job.spec().id()), () -> Terms.attempt(acting.term(), ++sequence));
+        for (JobView job : mirror.jobs()) {
+            if (!job.live() && job.placedCount() == 0 && draft.hasRoomFor("", 10)) {
+                draft.archiveCancelled(job);
+            }
+        }
+        return draft.isEmpty() ? null : draft.toTxn();
+    }
+
+    /** Milliseconds until planning again may lead to something without any news, or -1. */
+    public long nextPlan(long now) {
+        return auction.nextClose(now);
+    }
+
+    /** Frees what is proved to be over, and records what is done. */
+    private void settle(long now, Draft draft) {
+        Set<Long> open = new HashSet<>();
+        for (String machine : List.copyOf(mirror.placedMachines())) {
+            for (Placement p : mirror.placements(machine)) {
+                open.add(p.attempt());
+                Exit exit = exits.get(p.attempt());
+                boolean exited = exit != null && isCurrent(exit) && exit.machine().equals(machine);
+                Exit g = gone.get(p.attempt());
+                boolean proved = g != null && isCurrent(g) && g.machine().equals(machine) || dead.contains(machine);
+                if (!exited && !proved) {
+                    continue;
+                }
+                JobView job = mirror.job(p.task().job());
+                if (!draft.hasRoomFor(machine, 12)) {
+                    return;
+                }
+                draft.free(machine, p);
+                if (exited && job != null && job.live() && exit.task().cause() == ExitCause.DONE
+                    && p.task().index() < job.spec().tasks()) {
+                    draft.finish(job, p.task().index());
+                }
+                if (exited) {
+                    judge(now, machine, p, exit.task());
+                } else {
+                    log.accept("task " + p.task() + " is gone from " + machine);
+                }
+            }
+        }
+        exits.keySet().retainAll(open);
+        gone.keySet().retainAll(open);
+    }
+
+    private boolean isCurrent(Exit e) {
+        BlockLease lease = mirror.block(e.block());
+        return lease != null && lease.term() == e.term();
+    }
+
+    private void judge(long now, String machine, Placement p, ReportedTask t) {
+        if (!failures.firstSight(p.attempt())) {
+            return;
+        }
+        MachineState m = machines.get(machine);
+        if (t.cause() == ExitCause.DONE) {
+            failures.completed(p.task().job());
+            if (m != null) {
+                m.failures = 0;
+            }
+            return;
+        }
+        log.accept("task " + p.task() + " ended on " + machine + ": " + t.cause() + (t.saved() ? ", saved" : ""));
+        if (m == null) {
+            return;
+        }
+        switch (t.cause()) {
+            case ERROR, UNKNOWN_TASK -> {
+                boolean jobsFault = failures.failed(now, p.task().job(), machine);
+                if (!jobsFault) {
+                    m.failures++;
+                    m.avoidUntil = now + Math.min(32, 1L << m.failures) * params.reportMs();
+                }
+            }
+            case NO_ROOM, BUSY, OTHER -> m.avoidUntil = Math.max(m.avoidUntil, now + params.reportMs());
+            default -> { }
+        }
+    }
+
+    /** Leases blocks whose holder is gone, and moves a block home when its zone has an idle controller again. */
+    private Txn leaseBlocks(long now) {
+        nodeSince.keySet().removeIf(n -> mirror.nodes().stream().noneMatch(i -> key(i).equals(n)));
+        mirror.nodes().forEach(n -> nodeSince.putIfAbsent(key(n), now));
+        Map<String, Integer> load = new HashMap<>();
+        List<String> orphans = new ArrayList<>();
+        for (String block : blocks.all()) {
+            BlockLease lease = mirror.block(block);
+            if (lease != null && alive(lease)) {
+                load.merge(lease.holder(), 1, Integer::sum);
+            } else {
+                orphans.add(block);
+            }
+        }
+        if (orphans.isEmpty()) {
+            String moved = blockToMove(now, load);
+            if (moved != null) {
+                orphans.add(moved);
+            }
+        }
+        Txn txn = new Txn().guard(Keys.LEADER, mirror.stamp(Keys.LEADER));
+        for (String block : orphans) {
+            NodeInfo best = null;
+            for (NodeInfo n : mirror.nodes()) {
+                if (best == null || cost(n, block, load) < cost(best, block, load)) {
+                    best = n;
+                }
+            }
+            if (best != null && txn.ops().size() < params.txnOps()) {
+                load.merge(best.name(), 1, Integer::sum);
+                long term = Terms.blockTerm(acting.term(), ++blockSequence);
+                txn.put(Keys.block(block), Records.block(new BlockLease(best.name(), best.incarnation(), term)));
+                log.accept("block " + block + " goes to " + best.name() + " under term " + term);
+            }
+        }
+        return txn.ops().isEmpty() ? null : txn;
+    }
+
+    private String blockToMove(long now, Map<String, Integer> load) {
+        for (NodeInfo n : mirror.nodes()) {
+            if (load.containsKey(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
+                || now - actingSince < 2 * params.nodeTtlMs()) {
+                continue;
+            }
+            for (String block : blocks.all()) {
+                BlockLease lease = mirror.block(block);
+                boolean crowded = load.getOrDefault(lease.holder(), 0) > 1;
+                if (Blocks.zoneOf(block).equals(n.zone()) && (crowded || !zone(lease.holder()).equals(n.zone()))) {
+                    load.merge(lease.holder(), -1, Integer::sum);
+                    return block;
+                }
+            }
+        }
+        return null;
+    }
+
+    private String zone(String node) {
+        NodeInfo n = mirror.node(node);
+        return n == null ? "" : n.zone();
+    }
+
+    private static int cost(NodeInfo n, String block, Map<String, Integer> load) {
+        return 2 * load.getOrDefault(n.name(), 0) + (n.zone().equals(Blocks.zoneOf(block)) ? 0 : 1);
+    }
+
+    private static String key(NodeInfo n) {
+        return n.name() + "#" + n.incarnation();
+    }
+
+    private boolean alive(BlockLease lease) {
+        NodeInfo n = mirror.node(lease.holder());
+        return n != null && n.incarnation() == lease.incarnation();
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/machine/Placement.java
@@ -0,0 +1,21 @@
+package garnetscale.core.machine;
+
+import garnetscale.core.job.TaskId;
+
+/**
+ * The stored right of one attempt to be on one machine, written before any start is sent.
+ *
+ * @param shift the worker's session that it was awarded in; in a later one the attempt can't be there
+ * @param stop  whether and how the leader wants the attempt stopped
+ */
+public record Placement(TaskId task, long attempt, long shift, Stop stop) {
+
+    /** What the leader wants of a placed attempt. */
+    public enum Stop {
+        KEEP, SAVE, NOW
+    }
+
+    public Placement withStop(Stop next) {
+        return new Placement(task, attempt, shift, next);
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/machine/TaskState.java
@@ -0,0 +1,6 @@
+package garnetscale.core.machine;
+
+/** State of a task on its machine. */
+public enum TaskState {
+    FETCHING, RUNNING, SAVING, EXITED, UNKNOWN
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/store/Keys.java
@@ -0,0 +1,47 @@
+package garnetscale.core.store;
+
+/**
+ * Names of the keys. Everything that a node mirrors lies under one prefix, so that one watch brings it all;
+ * jobs that are over lie outside it, so that a cold start reads only what is alive.
+ */
+public final class Keys {
+
+    public static final String MIRRORED = "g/";
+    public static final String LEADER = "g/leader";
+    public static final String TERM = "g/term";
+    public static final String TYPES = "g/types";
+    static final String JOB = "g/j/";
+    static final String FINISHED = "g/f/";
+    static final String PLACED = "g/p/";
+    static final String BLOCK = "g/b/";
+    static final String NODE = "g/n/";
+    private static final String ARCHIVE = "a/";
+
+    private Keys() {
+    }
+
+    public static String job(String id) {
+        return JOB + id;
+    }
+
+    /** Where a job that is over is kept for good. */
+    public static String archived(String id) {
+        return ARCHIVE + id;
+    }
+
+    public static String finished(String job, int shard) {
+        return FINISHED + job + "/" + shard;
+    }
+
+    public static String placed(String machine) {
+        return PLACED + machine;
+    }
+
+    public static String block(String block) {
+        return BLOCK + block;
+    }
+
+    public static String node(String name) {
+        return NODE + name;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/store/Records.java
@@ -0,0 +1,186 @@
+package garnetscale.core.store;
+
+import garnetscale.core.block.BlockLease;
+import garnetscale.core.block.LeaderInfo;
+import garnetscale.core.block.NodeInfo;
+import garnetscale.core.job.JobRecord;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.JobState;
+import garnetscale.core.job.Priority;
+import garnetscale.core.job.TaskId;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Placement;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** How the values of the state service look: maps with short keys, since every byte of them is sent again and again. */
+public final class Records {
+
+    /** Tasks per finished set, so that a job of any size keeps each value small and one finish writes little. */
+    public static final int SHARD = 16384;
+
+    private Records() {
+    }
+
+    public static Map<String, Object> job(JobRecord r) {
+        JobSpec s = r.spec();
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("s", r.state().name());
+        m.put("at", r.submittedMs());
+        m.put("class", s.jobClass());
+        m.put("team", s.team());
+        m.put("pri", s.priority().name());
+        m.put("n", s.tasks());
+        m.put("cpus", s.cpus());
+        m.put("gpus", s.gpus());
+        m.put("mem", s.memoryGb());
+        m.put("types", s.types());
+        m.put("zone", s.zone());
+        m.put("one", s.oneZone());
+        m.put("spread", s.spread());
+        m.put("spot", s.spot());
+        m.put("img", s.image());
+        m.put("gb", s.imageGb());
+        m.put("est", s.estimateS());
+        m.put("ckpt", s.checkpointS());
+        m.put("save", s.saveS());
+        m.put("due", s.deadlineS());
+        m.values().removeIf(v -> v == null);
+        return m;
+    }
+
+    public static JobRecord job(String id, Object value) {
+        Map<?, ?> m = (Map<?, ?>) value;
+        List<String> types = m.get("types") instanceof List<?> l ? l.stream().map(String::valueOf).toList() : null;
+        JobSpec spec = new JobSpec(id, text(m, "class"), text(m, "team"), Priority.valueOf(text(m, "pri")),
+            (int) whole(m, "n"), number(m, "cpus"), number(m, "gpus"), number(m, "mem"), types, text(m, "zone"),
+            flag(m, "one"), flag(m, "spread"), flag(m, "spot"), text(m, "img"), number(m, "gb"),
+            number(m, "est"), number(m, "ckpt"), number(m, "save"),
+            m.get("due") instanceof Number n ? (Double) n.doubleValue() : null);
+        return new JobRecord(spec, JobState.valueOf(text(m, "s")), whole(m, "at"));
+    }
+
+    /** What stays of a job that is over. */
+    public record Archived(JobState state, int tasks, int finished, String team) {
+    }
+
+    public static Map<String, Object> archived(Archived a) {
+        return Map.of("s", a.state().name(), "n", a.tasks(), "f", a.finished(), "team", a.team());
+    }
+
+    public static Archived archived(Object value) {
+        Map<?, ?> m = (Map<?, ?>) value;
+        return new Archived(JobState.valueOf(text(m, "s")), (int) whole(m, "n"), (int) whole(m, "f"), text(m, "team"));
+    }
+
+    /** One shard of a finished set, as text since the protocol knows no binary. */
+    public static Map<String, Object> finished(BitSet all, int shard) {
+        BitSet part = all.get(shard * SHARD, (shard + 1) * SHARD);
+        return Map.of("b", Base64.getEncoder().encodeToString(part.toByteArray()));
+    }
+
+    static BitSet finished(Object value) {
+        return BitSet.valueOf(Base64.getDecoder().decode(text((Map<?, ?>) value, "b")));
+    }
+
+    /** The zone is kept so that whoever takes over a block finds machines in it that no longer report. */
+    public static Map<String, Object> placements(String zone, List<Placement> list) {
+        List<Object> rows = new ArrayList<>(list.size());
+        for (Placement p : list) {
+            rows.add(List.of(p.task().toString(), p.attempt(), p.shift(), p.stop().ordinal()));
+        }
+        return Map.of("z", zone, "p", rows);
+    }
+
+    static String zone(Object value) {
+        return text((Map<?, ?>) value, "z");
+    }
+
+    static List<Placement> placements(Object value) {
+        List<Placement> list = new ArrayList<>();
+        for (Object o : (List<?>) ((Map<?, ?>) value).get("p")) {
+            List<?> row = (List<?>) o;
+            list.add(new Placement(TaskId.parse((String) row.get(0)), ((Number) row.get(1)).longValue(),
+                ((Number) row.get(2)).longValue(), Placement.Stop.values()[((Number) row.get(3)).intValue()]));
+        }
+        return List.copyOf(list);
+    }
+
+    public static Map<String, Object> block(BlockLease b) {
+        return Map.of("h", b.holder(), "i", b.incarnation(), "t", b.term());
+    }
+
+    static BlockLease block(Object value) {
+        Map<?, ?> m = (Map<?, ?>) value;
+        return new BlockLease(text(m, "h"), whole(m, "i"), whole(m, "t"));
+    }
+
+    public static Map<String, Object> node(NodeInfo n) {
+        return Map.of("i", n.incarnation(), "z", n.zone());
+    }
+
+    static NodeInfo node(String name, Object value) {
+        Map<?, ?> m = (Map<?, ?>) value;
+        return new NodeInfo(name, whole(m, "i"), text(m, "z"));
+    }
+
+    public static Map<String, Object> leader(LeaderInfo l) {
+        return Map.of("h", l.node(), "i", l.incarnation(), "t", l.term());
+    }
+
+    static LeaderInfo leader(Object value) {
+        Map<?, ?> m = (Map<?, ?>) value;
+        return new LeaderInfo(text(m, "h"), whole(m, "i"), whole(m, "t"));
+    }
+
+    public static Map<String, Object> term(long term) {
+        return Map.of("t", term);
+    }
+
+    static long term(Object value) {
+        return whole((Map<?, ?>) value, "t");
+    }
+
+    public static Map<String, Object> types(List<MachineType> types) {
+        List<Object> rows = new ArrayList<>();
+        for (MachineType t : types) {
+            rows.add(List.of(t.name(), t.cpus(), t.gpus(), t.memoryGb(), t.cacheGb(), t.fetchGbPerS(), t.price(),
+                t.spotPrice(), t.bootS(), t.zones()));
+        }
+        return Map.of("types", rows);
+    }
+
+    static List<MachineType> types(Object value) {
+        List<MachineType> list = new ArrayList<>();
+        for (Object o : (List<?>) ((Map<?, ?>) value).get("types")) {
+            List<?> r = (List<?>) o;
+            list.add(new MachineType((String) r.get(0), num(r, 1), num(r, 2), num(r, 3), num(r, 4), num(r, 5),
+                num(r, 6), num(r, 7), num(r, 8), ((List<?>) r.get(9)).stream().map(String::valueOf).toList()));
+        }
+        return List.copyOf(list);
+    }
+
+    private static double num(List<?> row, int i) {
+        return ((Number) row.get(i)).doubleValue();
+    }
+
+    private static String text(Map<?, ?> m, String key) {
+        return (String) m.get(key);
+    }
+
+    private static long whole(Map<?, ?> m, String key) {
+        return ((Number) m.get(key)).longValue();
+    }
+
+    private static double number(Map<?, ?> m, String key) {
+        return ((Number) m.get(key)).doubleValue();
+    }
+
+    private static boolean flag(Map<?, ?> m, String key) {
+        return Boolean.TRUE.equals(m.get(key));
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/net/Budget.java
@@ -0,0 +1,47 @@
+package garnetscale.net;
+
+/** A token bucket: so many a second, and so many saved up at most. */
+public final class Budget {
+
+    private final double perS;
+    private final double most;
+    private double tokens;
+    private long last;
+
+    public Budget(double perS, double most, long now) {
+        this.perS = perS;
+        this.most = most;
+        this.tokens = most;
+        this.last = now;
+    }
+
+    /** Takes so many tokens, or none if they aren't there. More than it can ever hold passes when it is full. */
+    public boolean take(long now, double count) {
+        refill(now);
+        if (tokens + 1e-9 < Math.min(count, most)) {
+            return false;
+        }
+        tokens -= count;
+        return true;
+    }
+
+    /** Takes them whether they are there or not: for what mustn't wait. */
+    public void force(long now, double count) {
+        refill(now);
+        tokens -= count;
+    }
+
+    /** Milliseconds until so many tokens are there. */
+    public long waitMs(long now, double count) {
+        refill(now);
+        double missing = Math.min(count, most) - tokens;
+        return missing <= 0 ? 0 : (long) Math.ceil(missing / perS * 1000);
+    }
+
+    private void refill(long now) {
+        if (now > last) {
+            tokens = Math.min(most, tokens + (now - last) * perS / 1000);
+            last = now;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/net/HttpClient.java
@@ -0,0 +1,193 @@
+package garnetscale.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Requests over persistent connections, one request on a connection at a time. Lives on one event loop, like all
+ * its callers. Every call ends by its timeout at the latest and calls back exactly once.
+ */
+public final class HttpClient {
+
+    /** Bodies of watches have no size limit in the protocol; this is where a process would rather relist. */
+    private static final int MAX_BODY = 8 << 20;
+
+    private final EventLoopGroup loop;
+    private final int idlePerHost;
+    private final long connectMs;
+    private final Map<String, Deque<Channel>> idle = new HashMap<>();
+
+    public HttpClient(EventLoopGroup loop, int idlePerHost, long connectMs) {
+        this.loop = loop;
+        this.idlePerHost = idlePerHost;
+        this.connectMs = connectMs;
+    }
+
+    private static final class Call {
+        final String host;
+        final FullHttpRequest request;
+        final Consumer<HttpResult> callback;
+        ScheduledFuture<?> timer;
+        boolean sent;
+        boolean over;
+
+        Call(String host, FullHttpRequest request, Consumer<HttpResult> callback) {
+            this.host = host;
+            this.request = request;
+            this.callback = callback;
+        }
+
+        void end(HttpResult result) {
+            if (!over) {
+                over = true;
+                timer.cancel(false);
+                callback.accept(result);
+            }
+        }
+    }
+
+    /** Sends a request; {@code body} may be null. The callback runs on the event loop. */
+    public void call(String host, HttpMethod method, String path, byte[] body, long timeoutMs,
+                     Consumer<HttpResult> callback) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
+            body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+        request.headers().set(HttpHeaderNames.HOST, host);
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body == null ? 0 : body.length);
+        if (body != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/cbor");
+        }
+        Call call = new Call(host, request, callback);
+        Channel ready = takeIdle(host);
+        if (ready != null) {
+            arm(call, ready, timeoutMs);
+            send(call, ready);
+            return;
+        }
+        Bootstrap b = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(connectMs, timeoutMs))
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel ch) {
+                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_BODY), new Handler());
+                }
+            });
+        Channel[] made = new Channel[1];
+        call.timer = loop.next().schedule(() -> {
+            if (made[0] != null) {
+                made[0].close();
+            }
+            call.end(call.sent ? HttpResult.NO_ANSWER : HttpResult.NOT_SENT);
+        }, timeoutMs, TimeUnit.MILLISECONDS);
+        b.connect(address(host)).addListener((ChannelFutureListener) f -> {
+            if (!f.isSuccess()) {
+                call.end(HttpResult.NOT_SENT);
+            } else if (call.over) {
+                f.channel().close();
+            } else {
+                made[0] = f.channel();
+                send(call, f.channel());
+            }
+        });
+    }
+
+    private void arm(Call call, Channel channel, long timeoutMs) {
+        call.timer = loop.next().schedule(() -> {
+            channel.close();
+            call.end(HttpResult.NO_ANSWER);
+        }, timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
+    private Channel takeIdle(String host) {
+        Deque<Channel> free = idle.get(host);
+        while (free != null && !free.isEmpty()) {
+            Channel c = free.pollLast();
+            if (c.isActive()) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    private void send(Call call, Channel channel) {
+        call.sent = true;
+        channel.pipeline().get(Handler.class).call = call;
+        channel.writeAndFlush(call.request);
+    }
+
+    /** Turns "10.0.0.1:8080" into an address, with no name look-up for numbers. */
+    public static InetSocketAddress address(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        return new InetSocketAddress(hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private Call call;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Call done = call;
+            call = null;
+            if (done == null) {
+                ctx.close();
+                return;
+            }
+            if (HttpUtil.isKeepAlive(response)) {
+                Deque<Channel> free = idle.computeIfAbsent(done.host, k -> new ArrayDeque<>());
+                if (free.size() < idlePerHost) {
+                    free.addLast(ctx.channel());
+                } else {
+                    ctx.close();
+                }
+            } else {
+                ctx.close();
+            }
+            done.end(HttpResult.answered(response.status().code(), ByteBufUtil.getBytes(response.content())));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            Call lost = call;
+            call = null;
+            for (Deque<Channel> free : idle.values()) {
+                free.remove(ctx.channel());
+            }
+            if (lost != null) {
+                lost.end(HttpResult.NO_ANSWER);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/net/HttpResult.java
@@ -0,0 +1,27 @@
+package garnetscale.net;
+
+/**
+ * How a request ended. Without a status the difference that matters is whether it can have been carried out: a
+ * request that was never written can't, one that was written and not answered may be, even later.
+ */
+public record HttpResult(Outcome outcome, int status, byte[] body) {
+
+    public enum Outcome {
+        ANSWERED, NOT_SENT, NO_ANSWER
+    }
+
+    public static HttpResult answered(int status, byte[] body) {
+        return new HttpResult(Outcome.ANSWERED, status, body);
+    }
+
+    static final HttpResult NOT_SENT = new HttpResult(Outcome.NOT_SENT, 0, new byte[0]);
+    static final HttpResult NO_ANSWER = new HttpResult(Outcome.NO_ANSWER, 0, new byte[0]);
+
+    public boolean is(int wanted) {
+        return outcome == Outcome.ANSWERED && status == wanted;
+    }
+
+    public boolean maybe() {
+        return outcome == Outcome.NO_ANSWER || outcome == Outcome.ANSWERED && status >= 500 && status != 503;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/net/HttpServer.java
@@ -0,0 +1,204 @@
+package garnetscale.net;
+
+import garnetscale.wire.UserCodec;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Serves users, workers and health checks on one port. Connections start out as users' and become workers' with
+ * their first report; users' are bounded, so that however many come, workers, state and peers find a socket.
+ */
+public final class HttpServer {
+
+    /** Answers a request by calling back once, at once or later, on the event loop. */
+    public interface Handler {
+        void handle(String method, String path, byte[] body, Consumer<Reply> answer);
+    }
+
+    private static final int MAX_BODY = 64 * 1024;
+    /** A connection that hasn't brought a whole request for so long is shed. */
+    private static final int IDLE_S = 30;
+
+    private final EventLoopGroup loop;
+    private final Handler handler;
+    private final int maxUsers;
+    /** Users' connections without a request under way, longest unused first: these are shed for new ones. */
+    private final Set<Channel> resting = new LinkedHashSet<>();
+    private int users;
+
+    public HttpServer(EventLoopGroup loop, int maxUsers, Handler handler) {
+        this.loop = loop;
+        this.handler = handler;
+        this.maxUsers = maxUsers;
+    }
+
+    /** Starts to listen; the future fails when the address is in use. */
+    public ChannelFuture listen(String hostPort) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 256)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel ch) {
+                    ch.pipeline().addLast(new IdleStateHandler(IDLE_S, 0, 0, TimeUnit.SECONDS), new HttpServerCodec(),
+                        new Aggregator(), new Connection());
+                }
+            }).bind(HttpClient.address(hostPort));
+    }
+
+    /** A body that is too long is malformed to the protocol: 400, and not retried. */
+    private static final class Aggregator extends HttpObjectAggregator {
+
+        Aggregator() {
+            super(MAX_BODY, true);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            ctx.writeAndFlush(response(Reply.of(400, UserCodec.error("body over 64 KiB")), false))
+                .addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        private boolean worker;
+        private boolean counted;
+        private boolean busy;
+        private final Deque<FullHttpRequest> early = new ArrayDeque<>();
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            counted = true;
+            users++;
+            resting.add(ctx.channel());
+            while (users > maxUsers && !resting.isEmpty()) {
+                Channel oldest = resting.iterator().next();
+                resting.remove(oldest);
+                oldest.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            leave(ctx);
+            early.forEach(FullHttpRequest::release);
+            early.clear();
+        }
+
+        private void leave(ChannelHandlerContext ctx) {
+            resting.remove(ctx.channel());
+            if (counted) {
+                counted = false;
+                users--;
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (!request.decoderResult().isSuccess()) {
+                ctx.writeAndFlush(response(Reply.of(400), false)).addListener(ChannelFutureListener.CLOSE);
+                return;
+            }
+            if (busy) {
+                if (early.size() >= 4) {
+                    ctx.close();
+                } else {
+                    early.add(request.retain());
+                }
+                return;
+            }
+            serve(ctx, request);
+        }
+
+        private void serve(ChannelHandlerContext ctx, FullHttpRequest request) {
+            String path = request.uri();
+            if (!worker && path.equals("/hello")) {
+                worker = true;
+                leave(ctx);
+            }
+            resting.remove(ctx.channel());
+            busy = true;
+            boolean keep = HttpUtil.isKeepAlive(request);
+            byte[] body = ByteBufUtil.getBytes(request.content());
+            handler.handle(request.method().name(), path, body, reply -> {
+                if (!ctx.channel().isActive()) {
+                    return;
+                }
+                ChannelFuture f = ctx.writeAndFlush(response(reply, keep));
+                busy = false;
+                if (!keep) {
+                    f.addListener(ChannelFutureListener.CLOSE);
+                    return;
+                }
+                if (!worker) {
+                    resting.add(ctx.channel());
+                }
+                FullHttpRequest next = early.poll();
+                if (next != null) {
+                    serve(ctx, next);
+                    next.release();
+                }
+            });
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof IdleStateEvent && !busy) {
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private static FullHttpResponse response(Reply reply, boolean keep) {
+        FullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(reply.body()));
+        r.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+        if (reply.body().length > 0) {
+            r.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/cbor");
+        }
+        if (reply.retryAfterS() > 0) {
+            r.headers().set(HttpHeaderNames.RETRY_AFTER, reply.retryAfterS());
+        }
+        if (!keep) {
+            r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return r;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/peer/PeerMessage.java
@@ -0,0 +1,23 @@
+package garnetscale.peer;
+
+import garnetscale.core.bid.BidSheet;
+import garnetscale.core.block.Observation;
+
+/** What controllers say to each other. */
+public sealed interface PeerMessage {
+
+    /**
+     * A sign of life, every second.
+     *
+     * @param leaderTerm the term that the sender leads under, or -1
+     * @param stateAgeMs how long ago the sender sent its last request that the state service answered
+     */
+    record Heartbeat(String node, long incarnation, long leaderTerm, long stateAgeMs) implements PeerMessage {
+    }
+
+    record Seen(Observation observation) implements PeerMessage {
+    }
+
+    record Bids(BidSheet sheet) implements PeerMessage {
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/wire/StateCodec.java
@@ -0,0 +1,79 @@
+package garnetscale.wire;
+
+import garnetscale.core.store.Change;
+import garnetscale.core.store.Txn;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the state service is asked and answers. */
+public final class StateCodec {
+
+    /** Keys as of a revision: a page of a listing, or a watch's log. */
+    public record Batch(List<Change> changes, long ledger, boolean more) {
+    }
+
+    private StateCodec() {
+    }
+
+    public static byte[] txn(Txn txn) {
+        List<Object> guards = new ArrayList<>();
+        txn.guards().forEach((key, stamp) -> guards.add(Map.of("key", key, "stamp", stamp)));
+        List<Object> then = new ArrayList<>();
+        for (Txn.Op op : txn.ops()) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            if (op.value() == null) {
+                m.put("remove", op.key());
+            } else {
+                m.put("set", op.key());
+                m.put("v", op.value());
+                if (op.lease() != 0) {
+                    m.put("tenure", op.lease());
+                }
+            }
+            then.add(m);
+        }
+        return Cbor.write(Map.of("guards", guards, "then", then));
+    }
+
+    public static long ledger(byte[] body) throws IOException {
+        return new Fields(Cbor.readMap(body)).whole("ledger");
+    }
+
+    public static byte[] lease(long ttlMs) {
+        return Cbor.write(Map.of("ttl_ms", ttlMs));
+    }
+
+    public static long lease(byte[] body) throws IOException {
+        return new Fields(Cbor.readMap(body)).whole("tenure");
+    }
+
+    /** The value of a single key. */
+    public static Object value(byte[] body) throws IOException {
+        return Cbor.readMap(body).get("v");
+    }
+
+    public static Batch listing(byte[] body) throws IOException {
+        Fields f = new Fields(Cbor.readMap(body));
+        List<Change> list = new ArrayList<>();
+        for (Object o : f.list("pairs")) {
+            Map<?, ?> m = (Map<?, ?>) o;
+            list.add(new Change((String) m.get("key"), m.get("v"), new Fields(m).whole("stamp")));
+        }
+        return new Batch(list, f.whole("ledger"), f.flagOrFalse("has_next"));
+    }
+
+    public static Batch log(byte[] body) throws IOException {
+        Fields f = new Fields(Cbor.readMap(body));
+        List<Change> list = new ArrayList<>();
+        for (Object o : f.list("log")) {
+            Map<?, ?> m = (Map<?, ?>) o;
+            boolean set = m.containsKey("set");
+            list.add(new Change((String) m.get(set ? "set" : "remove"), set ? m.get("v") : null,
+                new Fields(m).whole("stamp")));
+        }
+        return new Batch(list, f.whole("ledger"), false);
+    }
+}
