--- a/src/main/java/garnetscale/app/Main.java
+++ b/src/main/java/garnetscale/app/Main.java
@@ -12,7 +12,7 @@
 
 /** The command line. */
 @Command(name = "garnetscale", mixinStandardHelpOptions = true, version = "garnetscale 0.1.0",
-    description = "A cluster scheduler whose machines bid for work.", subcommands = Main.Check.class)
+    description = "A cluster scheduler whose machines bid for work.", subcommands = {Main.Check.class, Rehearsal.class})
 public final class Main implements Callable<Integer> {
 
     @Option(names = "--config", paramLabel = "FILE", description = "Serve with the platform's settings in FILE (TOML).")
@@ -43,6 +43,10 @@
             System.err.println("garnetscale: --config FILE is missing; see --help");
             return 2;
         }
+        return serve(config);
+    }
+
+    private static int serve(Path config) throws InterruptedException {
         Settings settings;
         try {
             settings = Settings.read(config);
@@ -69,12 +73,20 @@
         }
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
         System.setProperty("org.slf4j.simpleLogger.log.io.netty", level.equals("debug") ? "info" : level);
+        // Netty makes its ids from the hardware address and the process id unless it is told some.
+        System.setProperty("io.netty.machineId", "02:00:00:00:00:01:00:00");
+        System.setProperty("io.netty.processId", "1");
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
     }
 
-    public static void main(String[] args) {
+    public static void main(String[] args) throws InterruptedException {
         setUpLogging();
+        // The platform's own call, at every restart: the class archive can't hold picocli, and parsing these two
+        // words with it would take a third of the start-up.
+        if (args.length == 2 && args[0].equals("--config")) {
+            System.exit(serve(Path.of(args[1])));
+        }
         System.exit(new CommandLine(new Main()).execute(args));
     }
 }
--- /dev/null
+++ b/src/main/java/garnetscale/app/Rehearsal.java
@@ -0,0 +1,179 @@
+package garnetscale.app;
+
+import garnetscale.net.HttpClient;
+import garnetscale.net.HttpResult;
+import garnetscale.standin.StandIns;
+import garnetscale.wire.Cbor;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Runs two controllers against the stand-ins until a job is done. The build does it to record which classes a
+ * serving process loads, since at a small share of a core loading them is most of a restart.
+ */
+@Command(name = "rehearse", mixinStandardHelpOptions = true,
+    description = "Run two controllers against stand-ins on loopback until a job is done.")
+final class Rehearsal implements Callable<Integer> {
+
+    @Option(names = "--seconds", defaultValue = "20", description = "Give up after so long (default ${DEFAULT-VALUE}).")
+    int seconds;
+
+    private EventLoopGroup loop;
+    private HttpClient http;
+
+    @Override
+    public Integer call() throws Exception {
+        loop = new NioEventLoopGroup(1);
+        http = new HttpClient(loop, 2, 500);
+        Path dir = Files.createTempDirectory("garnetscale");
+        try {
+            String[] listen = {freePort(), freePort()};
+            String[] back = {freePort(), freePort()};
+            StandIns outside = new StandIns(loop, Map.of("node-0", listen[0], "node-1", listen[1]), 300);
+            String state = outside.startState("127.0.0.1:0");
+            String cloud = outside.startCloud("127.0.0.1:0");
+            outside.startWorker("m-000001", 3000);
+            outside.startWorker("m-000002", 3000);
+            for (int i = 0; i < 2; i++) {
+                Path file = dir.resolve("node-" + i + ".toml");
+                Files.writeString(file, settings(i, listen, back, state, cloud));
+                new Node(Settings.read(file)).start();
+            }
+            return play(listen) ? 0 : 1;
+        } finally {
+            try (var files = Files.list(dir)) {
+                for (Path f : files.toList()) {
+                    Files.delete(f);
+                }
+            }
+            Files.delete(dir);
+        }
+    }
+
+    private static String freePort() throws IOException {
+        try (java.net.ServerSocket s = new java.net.ServerSocket(0)) {
+            return "127.0.0.1:" + s.getLocalPort();
+        }
+    }
+
+    private static String settings(int i, String[] listen, String[] back, String state, String cloud) {
+        return """
+            node_name = "node-%d"
+            site = "a"
+            listen = "%s"
+            back = "%s"
+            [[members]]
+            node_name = "node-%d"
+            site = "a"
+            endpoint = "%s"
+            [endpoints]
+            cloud = "%s"
+            state = "%s"
+            [facts]
+            count = 2
+            zones = ["a"]
+            time_bound_ms = 25.0
+            [[facts.teams]]
+            name = "us"
+            cpus = 4.0
+            cpus_max = 8.0
+            gpus = 0.0
+            gpus_max = 0.0
+            [[facts.objectives]]
+            kind = "wait"
+            class = "try"
+            within_s = 1.0
+            share = 0.9
+            [facts.workers]
+            report_s = 0.3
+            lease_s = 3.0
+            cancel_s = 9.0
+            [facts.state]
+            rps = 400.0
+            write_rps = 200.0
+            value_kb = 16.0
+            txn_ops = 24
+            [facts.cloud]
+            rps = 10.0
+            list_lag_s = 1.0
+            [facts.machine_limits]
+            cpu = 1.0
+            ram_mb = 256.0
+            max_connections = 500
+            """.formatted(i, listen[i], back[i], 1 - i, back[1 - i], cloud, state);
+    }
+
+    private boolean play(String[] listen) throws InterruptedException, ExecutionException, TimeoutException, IOException {
+        long end = System.nanoTime() + seconds * 1_000_000_000L;
+        boolean accepted = false;
+        boolean cancelled = false;
+        while (System.nanoTime() < end) {
+            if (!accepted) {
+                accepted = post(listen[0], "/v2/runs", Cbor.write(job("wk-000001", 3, 0.5))).status() == 201
+                    && post(listen[1], "/v2/runs", Cbor.write(job("wk-000002", 9, 60))).status() == 201;
+            } else {
+                call(listen[0], HttpMethod.GET, "/ready", null);
+                cancelled = cancelled || post(listen[0], "/v2/runs/wk-000002/cancel", null).status() == 200;
+                HttpResult r = call(listen[1], HttpMethod.GET, "/v2/runs/wk-000001", null);
+                if (r.status() == 200 && "done".equals(Cbor.readMap(r.body()).get("mood")) && cancelled) {
+                    System.out.println("rehearsal: a job is done, another is cancelled");
+                    return true;
+                }
+            }
+            TimeUnit.MILLISECONDS.sleep(200);
+        }
+        System.err.println("rehearsal: not done after " + seconds + " s");
+        return false;
+    }
+
+    private HttpResult post(String host, String path, byte[] body)
+        throws InterruptedException, ExecutionException, TimeoutException {
+        return call(host, HttpMethod.POST, path, body);
+    }
+
+    private HttpResult call(String host, HttpMethod method, String path, byte[] body)
+        throws InterruptedException, ExecutionException, TimeoutException {
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        loop.next().execute(() -> http.call(host, method, path, body, 2000, result::complete));
+        return result.get(5, TimeUnit.SECONDS);
+    }
+
+    private static Map<String, Object> job(String id, int tasks, double seconds) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("id", id);
+        m.put("herd", "try");
+        m.put("crew", "us");
+        m.put("shape", "array");
+        m.put("rank", "high");
+        m.put("chores", tasks);
+        m.put("cpus", 1.0);
+        m.put("gpus", 0.0);
+        m.put("ram_gb", 1.0);
+        m.put("seed", "image");
+        m.put("image_gb", 0.5);
+        m.put("breeds", List.of("small-4"));
+        m.put("field", null);
+        m.put("same_place", false);
+        m.put("apart", false);
+        m.put("windfall", true);
+        m.put("guess_s", seconds);
+        m.put("pin_s", 0.0);
+        m.put("stash_s", 0.0);
+        m.put("due_s", null);
+        return m;
+    }
+}
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -124,7 +124,7 @@
             boolean ours = lease != null && lease.holder().equals(params.self()) && lease.incarnation() == incarnation;
             if (!ours && mine != null || ours && mine != null && mine.term() != lease.term()) {
                 held.remove(block);
-                machines.values().removeIf(m -> blockOf(m).equals(block));
+                machines.values().removeIf(m -> m.block.equals(block));
                 mine = null;
             }
             if (ours && mine == null) {
@@ -133,10 +133,6 @@
         }
     }
 
-    private String blockOf(MachineView m) {
-        return blocks.blockOf(m.id, m.last == null ? mirror.placedZone(m.id) : m.last.zone());
-    }
-
     public Reply onReport(long now, Report r) {
         refreshBlocks(now);
         String block = blocks.blockOf(r.machine(), r.zone());
@@ -148,7 +144,7 @@
         if (!entitled(now)) {
             return new Reply.Refuse("term not confirmed within the grace");
         }
-        MachineView m = machines.computeIfAbsent(r.machine(), id -> new MachineView(id, Terms.firstToken(mine.term())));
+        MachineView m = machines.computeIfAbsent(r.machine(), id -> new MachineView(id, block, Terms.firstToken(mine.term())));
         if (!r.isNewerThan(m.last) || r.shift() <= m.lapsedShift) {
             return new Reply.Refuse("report overtaken");
         }
@@ -168,7 +164,7 @@
                 m.startsInAnswer.add(s.attempt());
             }
         }
-        observe(now, m, mine, block);
+        observe(now, m, mine);
         return new Reply.Answer(m.token, orders);
     }
 
@@ -182,9 +178,9 @@
         if (r.isNewerThan(m.last) && r.shift() > m.lapsedShift) {
             accept(now, m, r);
         }
-        Held mine = held.get(blockOf(m));
+        Held mine = held.get(m.block);
         if (mine != null) {
-            observe(now, m, mine, blockOf(m));
+            observe(now, m, mine);
         }
     }
 
@@ -347,11 +343,7 @@
         }
         adoptPlaced();
         for (MachineView m : machines.values()) {
-            String block = blockOf(m);
-            Held mine = held.get(block);
-            if (mine == null) {
-                continue;
-            }
+            Held mine = held.get(m.block);
             lapse(now, m, mine);
             if (m.last != null && m.last.shift() > m.lapsedShift) {
                 for (Map.Entry<Long, Long> e : m.runningSince.entrySet()) {
@@ -364,18 +356,20 @@
                 command(now, m, mine);
             }
             proveGone(m, mine);
-            observe(now, m, mine, block);
+            observe(now, m, mine);
         }
         offer(now);
     }
 
     /** Machines with placements that nobody has heard of in this term still have to be proved dead or alive. */
     private void adoptPlaced() {
+        machines.values().removeIf(m -> m.last == null && mirror.placements(m.id).isEmpty());
         for (String id : mirror.placedMachines()) {
             if (!machines.containsKey(id)) {
-                Held mine = held.get(blocks.blockOf(id, mirror.placedZone(id)));
+                String block = blocks.blockOf(id, mirror.placedZone(id));
+                Held mine = held.get(block);
                 if (mine != null) {
-                    machines.put(id, new MachineView(id, Terms.firstToken(mine.term())));
+                    machines.put(id, new MachineView(id, block, Terms.firstToken(mine.term())));
                 }
             }
         }
@@ -427,7 +421,7 @@
         effects.add(new Effect.Command(m.id, m.last.address(), m.token, m.last.shift(), orders));
     }
 
-    private void observe(long now, MachineView m, Held mine, String block) {
+    private void observe(long now, MachineView m, Held mine) {
         if (m.last == null && m.gone.isEmpty()) {
             return;
         }
@@ -442,9 +436,9 @@
             }
         }
         Observation o = r == null
-            ? new Observation(params.self(), incarnation, block, mine.term(), m.id, "", "", "", false, 0, null, true,
+            ? new Observation(params.self(), incarnation, m.block, mine.term(), m.id, "", "", "", false, 0, null, true,
                 List.of(), gone)
-            : new Observation(params.self(), incarnation, block, mine.term(), m.id, r.address(), r.type(), r.zone(),
+            : new Observation(params.self(), incarnation, m.block, mine.term(), m.id, r.address(), r.type(), r.zone(),
                 r.spot(), r.shift(), r.noticeS(), silent, r.tasks(), gone);
         int hash = o.hashCode();
         // Repeats what the leader hasn't acted on yet: the first telling may have been lost with its connection.
--- a/src/main/java/garnetscale/core/block/MachineView.java
+++ b/src/main/java/garnetscale/core/block/MachineView.java
@@ -11,6 +11,7 @@
 final class MachineView {
 
     final String id;
+    final String block;
     /** The newest report, also from answers to direct commands. */
     Report last;
     long lastReportAt;
@@ -38,8 +39,9 @@
     int observedHash;
     long observedAt = Long.MIN_VALUE / 2;
 
-    MachineView(String id, long token) {
+    MachineView(String id, String block, long token) {
         this.id = id;
+        this.block = block;
         this.token = token;
     }
 }
--- /dev/null
+++ b/src/main/java/garnetscale/standin/StandIns.java
@@ -0,0 +1,319 @@
+package garnetscale.standin;
+
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.TaskId;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Order;
+import garnetscale.core.machine.Report;
+import garnetscale.core.machine.ReportedTask;
+import garnetscale.core.store.Change;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.Txn;
+import garnetscale.net.HttpClient;
+import garnetscale.net.HttpServer;
+import garnetscale.net.Reply;
+import garnetscale.wire.Cbor;
+import garnetscale.wire.UserCodec;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * A state service, a cloud and a few workers on loopback, by their published protocols: for trying the service
+ * out, for its tests, and for the class archive that the build makes. They keep everything in memory and know no
+ * limits or failures; the machines that they show are made up.
+ */
+public final class StandIns {
+
+    private static final MachineType TYPE = new MachineType("small-4", 4, 0, 16, 20, 10, 0.4, 0.1, 5, List.of("a"));
+
+    private record Waiting(String prefix, long since, long until, Consumer<Reply> answer) {
+    }
+
+    private final EventLoopGroup loop;
+    private final StateModel state = new StateModel();
+    private final List<Waiting> watches = new ArrayList<>();
+    private final List<WorkerModel> workers = new ArrayList<>();
+    private final Map<String, Integer> target = new HashMap<>();
+    private final List<String> controllers;
+    private final Map<String, String> addresses;
+    private final HttpClient http;
+    private final long reportMs;
+
+    /** Controllers by name and address, to which the workers report. */
+    public StandIns(EventLoopGroup loop, Map<String, String> controllers, long reportMs) {
+        this.loop = loop;
+        this.addresses = Map.copyOf(controllers);
+        this.controllers = List.copyOf(controllers.keySet());
+        this.http = new HttpClient(loop, 4, 500);
+        this.reportMs = reportMs;
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** Starts to serve the state service; a port of 0 takes a free one. Returns the address. */
+    public String startState(String hostPort) throws IOException {
+        loop.next().scheduleAtFixedRate(() -> {
+            state.expire(now());
+            wake();
+        }, 50, 50, TimeUnit.MILLISECONDS);
+        return listen(hostPort, this::onState);
+    }
+
+    /** Starts to serve the cloud. */
+    public String startCloud(String hostPort) throws IOException {
+        return listen(hostPort, this::onCloud);
+    }
+
+    /** Starts one worker, a machine of its own. */
+    public void startWorker(String id, long leaseMs) throws IOException {
+        WorkerModel[] w = new WorkerModel[1];
+        String address = listen("127.0.0.1:0", (method, path, body, answer) -> onWorker(w[0], path, body, answer));
+        w[0] = new WorkerModel(id, address, TYPE, "a", leaseMs, now(), this::job, new WorkerModel.Watcher() {
+            @Override
+            public void began(String machine, TaskId task, long attempt) {
+                // Nothing to watch here: the tests that check the rules bring their own.
+            }
+
+            @Override
+            public void ended(String machine, TaskId task, long attempt) {
+                // As above.
+            }
+        });
+        workers.add(w[0]);
+        target.put(id, 0);
+        loop.next().schedule(() -> report(w[0]), reportMs / 4, TimeUnit.MILLISECONDS);
+    }
+
+    private String listen(String hostPort, HttpServer.Handler handler) throws IOException {
+        ChannelFuture f = new HttpServer(loop, 1000, handler).listen(hostPort);
+        if (!f.awaitUninterruptibly().isSuccess()) {
+            throw new IOException("can't listen on " + hostPort + ": " + f.cause().getMessage());
+        }
+        return "127.0.0.1:" + ((InetSocketAddress) f.channel().localAddress()).getPort();
+    }
+
+    private JobSpec job(String id) {
+        StateModel.Entry e = state.get(Keys.job(id));
+        return e == null ? null : Records.job(id, e.value()).spec();
+    }
+
+    // ---- state service
+
+    private void onState(String method, String uri, byte[] body, Consumer<Reply> answer) {
+        QueryStringDecoder q = new QueryStringDecoder(uri);
+        String path = q.path();
+        try {
+            if (path.equals("/multi")) {
+                answer.accept(commit(Cbor.readMap(body)));
+            } else if (path.equals("/holds")) {
+                long ttl = ((Number) Cbor.readMap(body).get("ttl_ms")).longValue();
+                answer.accept(ok(Map.of("tenure", state.grant(now(), ttl))));
+            } else if (path.startsWith("/holds/") && path.endsWith("/touch")) {
+                long id = Long.parseLong(path.substring(7, path.length() - 6));
+                answer.accept(state.touch(now(), id) ? ok(Map.of()) : Reply.of(404));
+            } else if (path.startsWith("/holds/") && method.equals("DELETE")) {
+                answer.accept(state.end(Long.parseLong(path.substring(7))) ? ok(Map.of()) : Reply.of(404));
+            } else if (path.equals("/follow")) {
+                long wait = Long.parseLong(param(q, "wait_ms", "0"));
+                watches.add(new Waiting(param(q, "starts", ""), Long.parseLong(param(q, "since", "0")), now() + wait,
+                    answer));
+            } else if (path.equals("/keys")) {
+                int limit = Integer.parseInt(param(q, "limit", "1000"));
+                List<Change> page = state.list(param(q, "starts", ""), param(q, "since", null), limit + 1);
+                boolean more = page.size() > limit;
+                List<Object> pairs = new ArrayList<>();
+                for (Change c : more ? page.subList(0, limit) : page) {
+                    pairs.add(Map.of("key", c.key(), "v", c.value(), "stamp", c.stamp()));
+                }
+                answer.accept(ok(Map.of("pairs", pairs, "has_next", more, "ledger", state.ledger())));
+            } else if (path.startsWith("/keys/")) {
+                StateModel.Entry e = state.get(path.substring(6));
+                answer.accept(e == null ? Reply.of(404, Cbor.write(Map.of("ledger", state.ledger())))
+                    : ok(Map.of("key", path.substring(6), "v", e.value(), "stamp", e.stamp())));
+            } else {
+                answer.accept(Reply.of(404));
+            }
+        } catch (IOException | RuntimeException e) {
+            answer.accept(Reply.of(400, UserCodec.error(String.valueOf(e.getMessage()))));
+        }
+        wake();
+    }
+
+    private static String param(QueryStringDecoder q, String name, String other) {
+        List<String> v = q.parameters().get(name);
+        return v == null ? other : v.get(0);
+    }
+
+    private static Reply ok(Map<String, ?> body) {
+        return Reply.of(200, Cbor.write(body));
+    }
+
+    private Reply commit(Map<?, ?> body) {
+        Txn txn = new Txn();
+        for (Object o : (List<?>) body.get("guards")) {
+            Map<?, ?> g = (Map<?, ?>) o;
+            txn.guard((String) g.get("key"), ((Number) g.get("stamp")).longValue());
+        }
+        for (Object o : (List<?>) body.get("then")) {
+            Map<?, ?> op = (Map<?, ?>) o;
+            if (op.containsKey("set")) {
+                long lease = op.get("tenure") instanceof Number n ? n.longValue() : 0;
+                txn.put((String) op.get("set"), op.get("v"), lease);
+            } else {
+                txn.delete((String) op.get("remove"));
+            }
+        }
+        int status = state.commit(txn);
+        return Reply.of(status, Cbor.write(Map.of("ledger", state.ledger())));
+    }
+
+    private void wake() {
+        for (Waiting w : List.copyOf(watches)) {
+            List<Change> changes = state.changes(w.prefix(), w.since());
+            if (changes.isEmpty() && now() < w.until()) {
+                continue;
+            }
+            watches.remove(w);
+            List<Object> log = new ArrayList<>();
+            for (Change c : changes) {
+                log.add(c.value() == null ? Map.of("remove", c.key(), "stamp", c.stamp())
+                    : Map.of("set", c.key(), "v", c.value(), "stamp", c.stamp()));
+            }
+            w.answer().accept(ok(Map.of("ledger", state.ledger(), "log", log)));
+        }
+    }
+
+    // ---- cloud
+
+    private void onCloud(String method, String uri, byte[] body, Consumer<Reply> answer) {
+        String path = new QueryStringDecoder(uri).path();
+        if (path.equals("/flavors")) {
+            Map<String, Object> t = new LinkedHashMap<>();
+            t.put("name", TYPE.name());
+            t.put("cpus", TYPE.cpus());
+            t.put("gpus", TYPE.gpus());
+            t.put("ram_gb", TYPE.memoryGb());
+            t.put("cache_gb", TYPE.cacheGb());
+            t.put("fetch_gb_per_s", TYPE.fetchGbPerS());
+            t.put("rate", TYPE.price());
+            t.put("market_price", TYPE.spotPrice());
+            t.put("startup_s", TYPE.bootS());
+            t.put("fields", TYPE.zones());
+            answer.accept(ok(Map.of("breeds", List.of(t))));
+        } else if (path.equals("/machines") && method.equals("GET")) {
+            List<Object> rows = new ArrayList<>();
+            for (WorkerModel w : workers) {
+                rows.add(Map.of("id", w.id(), "address", "", "breed", TYPE.name(), "field", "a", "windfall", false,
+                    "mood", "running", "age_s", 10.0));
+            }
+            answer.accept(ok(Map.of("hives", rows, "has_next", false)));
+        } else if (path.equals("/machines")) {
+            answer.accept(Reply.of(503, Cbor.write(Map.of("error", "no capacity"))));
+        } else {
+            answer.accept(ok(Map.of()));
+        }
+    }
+
+    // ---- workers
+
+    private void report(WorkerModel w) {
+        w.advance(now());
+        Report r = w.report();
+        String node = controllers.get(Math.floorMod(target.get(w.id()), controllers.size()));
+        long sentAt = now();
+        http.call(addresses.get(node), HttpMethod.POST, "/hello", Cbor.write(body(r)), 4000, result -> {
+            long pause = reportMs;
+            try {
+                Map<?, ?> m = result.status() == 200 || result.status() == 421 ? Cbor.readMap(result.body()) : Map.of();
+                if (result.is(200)) {
+                    w.answered(now(), sentAt, r.shift(), ((Number) m.get("baton")).longValue(), orders(m));
+                } else if (result.is(421) && controllers.contains(m.get("steward"))) {
+                    target.put(w.id(), controllers.indexOf(m.get("steward")));
+                    pause = 10;
+                } else {
+                    target.merge(w.id(), 1, Integer::sum);
+                }
+            } catch (IOException e) {
+                target.merge(w.id(), 1, Integer::sum);
+            }
+            loop.next().schedule(() -> report(w), pause, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void onWorker(WorkerModel w, String path, byte[] body, Consumer<Reply> answer) {
+        int status = 200;
+        try {
+            if (path.equals("/commands")) {
+                Map<?, ?> m = Cbor.readMap(body);
+                boolean done = w.command(now(), ((Number) m.get("baton")).longValue(),
+                    ((Number) m.get("shift")).longValue(), orders(m));
+                status = done ? 200 : 409;
+            }
+            answer.accept(Reply.of(status, Cbor.write(body(w.report()))));
+        } catch (IOException | RuntimeException e) {
+            answer.accept(Reply.of(400));
+        }
+    }
+
+    private static List<Order> orders(Map<?, ?> m) {
+        List<Order> list = new ArrayList<>();
+        for (Object o : (List<?>) m.get("orders")) {
+            Map<?, ?> row = (Map<?, ?>) o;
+            TaskId task = TaskId.parse((String) row.get("chore"));
+            long attempt = ((Number) row.get("try")).longValue();
+            list.add(switch ((String) row.get("verb")) {
+                case "start" -> new Order.Start(task, attempt);
+                case "halt" -> new Order.Stop(task, attempt, ((Number) row.get("mercy_s")).doubleValue());
+                default -> new Order.Clear(task, attempt);
+            });
+        }
+        return list;
+    }
+
+    private static Map<String, Object> body(Report r) {
+        List<Object> tasks = new ArrayList<>();
+        for (ReportedTask t : r.tasks()) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("chore", t.task().toString());
+            m.put("try", t.attempt());
+            m.put("mood", t.state().name().toLowerCase(java.util.Locale.ROOT));
+            if (t.cause() != null) {
+                m.put("cause", switch (t.cause()) {
+                    case DONE -> "done";
+                    case STOPPED -> "halted";
+                    case ERROR -> "error";
+                    case NO_ROOM -> "full";
+                    case BUSY -> "in_use";
+                    default -> "no_such";
+                });
+            }
+            tasks.add(m);
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("hive", r.machine());
+        m.put("address", r.address());
+        m.put("breed", r.type());
+        m.put("field", r.zone());
+        m.put("windfall", r.spot());
+        m.put("shift", r.shift());
+        m.put("tick", r.tick());
+        m.put("baton", r.token());
+        m.put("warning_s", null);
+        m.put("chores", tasks);
+        return m;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/standin/WorkerModel.java
@@ -0,0 +1,185 @@
+package garnetscale.standin;
+
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.machine.ExitCause;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Order;
+import garnetscale.core.machine.Report;
+import garnetscale.core.machine.ReportedTask;
+import garnetscale.core.machine.Room;
+import garnetscale.core.machine.TaskState;
+import garnetscale.core.job.TaskId;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+/** A worker by its published protocol, with the time handed in: tokens, sessions, tasks and leases. */
+public final class WorkerModel {
+
+    /** Told of every start and end of a task on this machine, so that a test can watch the rules. */
+    public interface Watcher {
+        void began(String machine, TaskId task, long attempt);
+
+        void ended(String machine, TaskId task, long attempt);
+    }
+
+    private static final class Running {
+        final TaskId id;
+        final long attempt;
+        TaskState state;
+        ExitCause cause;
+        long until;
+
+        Running(TaskId id, long attempt, TaskState state, long until) {
+            this.id = id;
+            this.attempt = attempt;
+            this.state = state;
+            this.until = until;
+        }
+    }
+
+    private final String id;
+    private final String address;
+    private final MachineType type;
+    private final String zone;
+    private final long leaseMs;
+    private final Function<String, JobSpec> jobs;
+    private final Watcher watcher;
+    private final Map<Long, Running> tasks = new LinkedHashMap<>();
+    private final Set<String> images = new HashSet<>();
+    private final Set<TaskId> results = new HashSet<>();
+    private long shift = 1;
+    private long tick;
+    private long token;
+    private long leaseFrom;
+
+    public WorkerModel(String id, String address, MachineType type, String zone, long leaseMs, long now,
+                       Function<String, JobSpec> jobs, Watcher watcher) {
+        this.id = id;
+        this.address = address;
+        this.type = type;
+        this.zone = zone;
+        this.leaseMs = leaseMs;
+        this.leaseFrom = now;
+        this.jobs = jobs;
+        this.watcher = watcher;
+    }
+
+    public long shift() {
+        return shift;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    /** Lets time pass: fetches and runs end, and a lease that wasn't renewed ends the session. */
+    public void advance(long now) {
+        if (now - leaseFrom > leaseMs) {
+            tasks.values().forEach(this::ended);
+            tasks.clear();
+            shift++;
+            leaseFrom = now;
+        }
+        for (Running t : tasks.values()) {
+            JobSpec job = jobs.apply(t.id.job());
+            if (t.state == TaskState.FETCHING && now >= t.until) {
+                images.add(job.image());
+                t.state = TaskState.RUNNING;
+                t.until = now + (results.contains(t.id) ? 0 : Math.round(job.estimateS() * 1000));
+                watcher.began(id, t.id, t.attempt);
+            }
+            if (t.state == TaskState.RUNNING && now >= t.until) {
+                results.add(t.id);
+                exit(t, ExitCause.DONE);
+            }
+        }
+    }
+
+    private void exit(Running t, ExitCause cause) {
+        ended(t);
+        t.state = TaskState.EXITED;
+        t.cause = cause;
+    }
+
+    private void ended(Running t) {
+        if (t.state == TaskState.RUNNING) {
+            watcher.ended(id, t.id, t.attempt);
+        }
+    }
+
+    /** A fresh report. */
+    public Report report() {
+        List<ReportedTask> list = new ArrayList<>();
+        tasks.values().forEach(t -> list.add(new ReportedTask(t.id, t.attempt, t.state, t.cause, false)));
+        return new Report(id, address, type.name(), zone, false, shift, ++tick, token, null, list);
+    }
+
+    /** The answer to a report that was sent at {@code sentAt} in session {@code reportShift}. */
+    public void answered(long now, long sentAt, long reportShift, long answerToken, List<Order> orders) {
+        advance(now);
+        if (reportShift != shift || answerToken < token) {
+            return;
+        }
+        token = answerToken;
+        leaseFrom = Math.max(leaseFrom, sentAt);
+        orders.forEach(o -> execute(now, o));
+    }
+
+    /** A direct command; false (409) when its token or session is not the present one. */
+    public boolean command(long now, long commandToken, long commandShift, List<Order> orders) {
+        advance(now);
+        if (commandToken < token || commandShift != shift) {
+            return false;
+        }
+        token = commandToken;
+        orders.forEach(o -> execute(now, o));
+        return true;
+    }
+
+    private void execute(long now, Order order) {
+        Running t = tasks.get(order.attempt());
+        if (order instanceof Order.Clear) {
+            if (t != null && t.state == TaskState.EXITED) {
+                tasks.remove(order.attempt());
+            }
+        } else if (order instanceof Order.Stop) {
+            if (t != null && t.state != TaskState.EXITED) {
+                exit(t, ExitCause.STOPPED);
+            }
+        } else if (t == null) {
+            start(now, order);
+        }
+    }
+
+    private void start(long now, Order order) {
+        JobSpec job = jobs.apply(order.task().job());
+        Running t = new Running(order.task(), order.attempt(), TaskState.FETCHING, now);
+        tasks.put(order.attempt(), t);
+        boolean busy = tasks.values().stream().anyMatch(o -> o != t && o.id.equals(t.id) && o.state != TaskState.EXITED);
+        if (job == null) {
+            exit(t, ExitCause.UNKNOWN_TASK);
+        } else if (busy) {
+            exit(t, ExitCause.BUSY);
+        } else if (!fits(t, job)) {
+            exit(t, ExitCause.NO_ROOM);
+        } else if (!images.contains(job.image())) {
+            t.until = now + Math.round(job.imageGb() / type.fetchGbPerS() * 1000);
+        }
+        advance(now);
+    }
+
+    private boolean fits(Running mine, JobSpec job) {
+        Room room = new Room(type);
+        for (Running t : tasks.values()) {
+            if (t != mine && t.state != TaskState.EXITED) {
+                room.take(jobs.apply(t.id.job()));
+            }
+        }
+        return room.fits(job);
+    }
+}
