--- a/src/main/java/garnetscale/app/CloudLink.java
+++ b/src/main/java/garnetscale/app/CloudLink.java
@@ -25,17 +25,19 @@
     private final Fleet fleet;
     private final Consumer<List<MachineType>> types;
     private final Consumer<String> dead;
+    private final Runnable listed;
     private final long spacingMs;
     private boolean busy;
     private long lastAt = Long.MIN_VALUE / 2;
 
     CloudLink(Params params, HttpClient http, String host, Fleet fleet, Consumer<List<MachineType>> types,
-              Consumer<String> dead) {
+              Consumer<String> dead, Runnable listed) {
         this.http = http;
         this.host = host;
         this.fleet = fleet;
         this.types = types;
         this.dead = dead;
+        this.listed = listed;
         this.spacingMs = fleet.spacingMs() + params.clockOffMs();
     }
 
@@ -57,6 +59,9 @@
                 CloudCodec.Page page = CloudCodec.page(r.body());
                 fleet.onPage(StateLink.now(), page.machines(), page.more());
                 fleet.failed().forEach(dead);
+                if (!page.more()) {
+                    listed.run();
+                }
             }, r -> { });
         } else if (call instanceof CloudCall.Rent rent) {
             // A rental without an answer may still be carried out; its machines then show in the list.
--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -9,6 +9,7 @@
 import garnetscale.core.fleet.CloudCall;
 import garnetscale.core.fleet.Fleet;
 import garnetscale.core.lead.Leader;
+import garnetscale.core.machine.Address;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Report;
 import garnetscale.core.store.JobView;
@@ -76,6 +77,7 @@
     private long planAgainAt = -1;
     private List<MachineType> types = List.of();
     private long lease = -1;
+    private List<Address> lastBook = List.of();
 
     Node(Settings settings) {
         this.settings = settings;
@@ -88,9 +90,9 @@
         this.state = new StateLink(params, loop.next(),
             new HttpClient(loop, 6, 1000), settings.state(), mirror, this);
         this.cloud = new CloudLink(params, new HttpClient(loop, 1, 1000), settings.cloud(), fleet, this::onTypes,
-            this::onDead);
+            this::onDead, this::onListed);
         this.front = new Front(params, mirror, state, this::why);
-        this.peers = new PeerLinks(loop, this::onPeer, this::onLink);
+        this.peers = new PeerLinks(loop, this::onPeer, this::onLink, this::onRefused);
         this.workers = new HttpClient(loop, 1, 1000);
         this.server = new HttpServer(loop, Math.max(16, params.maxConnections() / 2), this::onRequest);
     }
@@ -206,7 +208,16 @@
 
     // ---- peers
 
+    private void onRefused(String node) {
+        leader.suspect(node, true);
+        queueWork();
+    }
+
     private void onLink(String node) {
+        leader.suspect(node, false);
+        if (leader.leadingTerm() >= 0) {
+            peers.send(node, new PeerMessage.Book(fleet.book()));
+        }
         peers.send(node, heartbeat());
         LeaderInfo l = mirror.leader();
         if (l != null && l.node().equals(node)) {
@@ -230,6 +241,9 @@
                 holder.retell(now());
                 queueWork();
             }
+        } else if (m instanceof PeerMessage.Book b) {
+            holder.onBook(b.machines());
+            queueWork();
         } else if (m instanceof PeerMessage.Seen s) {
             leader.onObservation(now(), s.observation());
             queueWork();
@@ -274,6 +288,10 @@
                 WorkerCodec.commands(c.token(), c.shift(), c.orders()), 4000, r -> onCommanded(c, r));
             return;
         }
+        if (effect instanceof Holder.Effect.Probe p) {
+            workers.call(p.address(), HttpMethod.GET, "/show", null, 2000, r -> onProbed(r));
+            return;
+        }
         LeaderInfo l = mirror.leader();
         if (l == null) {
             return;
@@ -294,6 +312,17 @@
         }
     }
 
+    private void onProbed(HttpResult r) {
+        try {
+            if (r.is(200)) {
+                holder.onProbeAnswer(now(), WorkerCodec.report(r.body()));
+                queueWork();
+            }
+        } catch (IOException | RuntimeException e) {
+            LOG.info("malformed report: {}", e.getMessage());
+        }
+    }
+
     private void onCommanded(Holder.Effect.Command c, HttpResult r) {
         try {
             if (r.is(200) || r.is(409)) {
@@ -324,6 +353,7 @@
             LOG.info("this node leads under term {}", ledTerm);
             unknownStamp = -1;
             fleet.start(now, ledTerm);
+            lastBook = List.of();
             beat();
             holder.retell(now);
             holder.drain().forEach(this::carryOut);
@@ -341,13 +371,12 @@
         if (electing || state.failing()) {
             return;
         }
-        Txn txn = leader.election();
-        if (txn == null) {
+        if (leader.election(now()) == null) {
             return;
         }
         electing = true;
         loop.next().schedule(() -> {
-            Txn fresh = leader.election();
+            Txn fresh = leader.election(now());
             if (fresh == null || lease < 0) {
                 electing = false;
                 return;
@@ -412,6 +441,17 @@
         queueWork();
     }
 
+    /** Holders learn where their machines are, so that they can take over from a dead one at once. */
+    private void onListed() {
+        List<Address> book = fleet.book();
+        if (!book.equals(lastBook)) {
+            lastBook = book;
+            holder.onBook(book);
+            peers.sendAll(new PeerMessage.Book(book));
+            queueWork();
+        }
+    }
+
     private void onDead(String machine) {
         leader.onMachineDead(machine);
         queueWork();
--- a/src/main/java/garnetscale/core/Params.java
+++ b/src/main/java/garnetscale/core/Params.java
@@ -49,9 +49,12 @@
         return leaseMs + driftMs(leaseMs);
     }
 
-    /** Life of a node's state lease: a quarter of a worker's, so that a new holder is there well before it ends. */
+    /**
+     * Life of a node's state lease: an eighth of a worker's. Until it ends nobody starts work on a dead holder's
+     * machines; a renewal that is late by more costs a new lease and a raised term, but no task.
+     */
     public long nodeTtlMs() {
-        return Math.max(1000, leaseMs / 4);
+        return Math.max(1500, leaseMs / 8);
     }
 
     /** How long the leader waits for better bids: a tenth of the tightest waiting objective, two seconds at most. */
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -6,6 +6,7 @@
 import garnetscale.core.bid.Estimator;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.line.Line;
+import garnetscale.core.machine.Address;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Order;
@@ -56,6 +57,10 @@
         record Command(String machine, String address, long token, long shift, List<Order> orders) implements Effect {
         }
 
+        /** Ask the worker for its report: it would only come here by itself when its next one is due. */
+        record Probe(String machine, String address) implements Effect {
+        }
+
         record Tell(Observation observation) implements Effect {
         }
 
@@ -76,6 +81,7 @@
     private final Map<String, Held> held = new TreeMap<>();
     private final Map<String, MachineView> machines = new TreeMap<>();
     private final List<Effect> effects = new ArrayList<>();
+    private final Map<String, Address> book = new TreeMap<>();
     private long incarnation = -1;
     private long confirmedAt = Long.MIN_VALUE / 2;
     private BidSheet lastSheet;
@@ -177,6 +183,7 @@
         m.commandInFlight = false;
         if (r.isNewerThan(m.last) && r.shift() > m.lapsedShift) {
             accept(now, m, r);
+            m.lastReportAt = now;
         }
         Held mine = held.get(m.block);
         if (mine != null) {
@@ -224,6 +231,49 @@
         return false;
     }
 
+    /** The leader's list of machines and their addresses. */
+    public void onBook(List<Address> list) {
+        book.clear();
+        list.forEach(a -> book.put(a.machine(), a));
+    }
+
+    /** A worker answered the question for its report; this doesn't renew its lease. */
+    public void onProbeAnswer(long now, Report r) {
+        String block = blocks.blockOf(r.machine(), r.zone());
+        Held mine = held.get(block);
+        if (mine == null || Terms.blockTermOf(r.token()) > mine.term()) {
+            return;
+        }
+        MachineView m = machines.computeIfAbsent(r.machine(),
+            id -> new MachineView(id, block, Terms.firstToken(mine.term())));
+        if (r.isNewerThan(m.last) && r.shift() > m.lapsedShift) {
+            m.token = Math.max(m.token, r.token());
+            accept(now, m, r);
+            m.lastReportAt = now;
+            observe(now, m, mine);
+        }
+    }
+
+    /** Asks machines that should report here and don't, as after a change of holder. */
+    private void probe(long now) {
+        for (Address a : book.values()) {
+            String block = blocks.blockOf(a.machine(), a.zone());
+            Held mine = held.get(block);
+            MachineView m = machines.get(a.machine());
+            if (mine == null || m != null && m.last != null && !silent(now, m)) {
+                continue;
+            }
+            if (m == null) {
+                m = new MachineView(a.machine(), block, Terms.firstToken(mine.term()));
+                machines.put(a.machine(), m);
+            }
+            if (now - m.probedAt > Math.max(2000, params.reportMs())) {
+                m.probedAt = now;
+                effects.add(new Effect.Probe(a.machine(), a.address()));
+            }
+        }
+    }
+
     private void accept(long now, MachineView m, Report r) {
         if (m.last != null && r.shift() > m.last.shift()) {
             m.runningSince.clear();
@@ -249,6 +299,9 @@
         m.directStarts.values().removeIf(token -> token < r.token());
         m.stopsSent.keySet().retainAll(seen);
         m.last = r;
+        if (m.oursAt < 0 && r.token() >= Terms.firstToken(Terms.blockTermOf(m.token))) {
+            m.oursAt = now;
+        }
         trimImages(m);
     }
 
@@ -342,6 +395,7 @@
             return;
         }
         adoptPlaced();
+        probe(now);
         for (MachineView m : machines.values()) {
             Held mine = held.get(m.block);
             lapse(now, m, mine);
@@ -363,7 +417,8 @@
 
     /** Machines with placements that nobody has heard of in this term still have to be proved dead or alive. */
     private void adoptPlaced() {
-        machines.values().removeIf(m -> m.last == null && mirror.placements(m.id).isEmpty());
+        machines.values().removeIf(m -> m.last == null && mirror.placements(m.id).isEmpty()
+            && !book.containsKey(m.id));
         for (String id : mirror.placedMachines()) {
             if (!machines.containsKey(id)) {
                 String block = blocks.blockOf(id, mirror.placedZone(id));
@@ -380,10 +435,11 @@
      * this term's token an older holder may have answered it for the grace, hence the longer time.
      */
     private void lapse(long now, MachineView m, Held mine) {
-        boolean ours = m.last != null && m.last.token() >= Terms.firstToken(mine.term());
-        long until = Math.max(m.answeredAt + params.silentMs(), ours ? Long.MIN_VALUE : mine.since() + params.fenceMs());
-        if (m.last == null) {
-            until = mine.since() + params.fenceMs();
+        long until = mine.since() + params.fenceMs();
+        if (m.oursAt >= 0) {
+            until = Math.max(m.answeredAt, m.oursAt) + params.silentMs();
+        } else {
+            until = Math.max(until, m.answeredAt + params.silentMs());
         }
         if (now <= until) {
             return;
@@ -401,8 +457,7 @@
     }
 
     private void command(long now, MachineView m, Held mine) {
-        if (m.commandInFlight || silent(now, m) || m.last.token() < Terms.firstToken(mine.term())
-            || m.lostToken >= m.last.token() || !Terms.sameTerm(m.token + 1, m.token)) {
+        if (m.commandInFlight || silent(now, m) || m.lostToken >= m.last.token() || !Terms.sameTerm(m.token + 1, m.token)) {
             return;
         }
         List<Order> orders = orders(now, m, mine, false);
--- a/src/main/java/garnetscale/core/block/MachineView.java
+++ b/src/main/java/garnetscale/core/block/MachineView.java
@@ -17,6 +17,10 @@
     long lastReportAt;
     /** When a report of the current session was last answered with 200; the worker's lease ends after that. */
     long answeredAt;
+    /** When a report first showed this term's token: from then on no older holder can have renewed the lease. */
+    long oursAt = -1;
+    /** When the worker was last asked for its report. */
+    long probedAt = Long.MIN_VALUE / 2;
     /** The token that this machine gets now; raised within the term when a command may arrive late. */
     long token;
     /** The highest token of a direct command that went unanswered, or -1. */
--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import garnetscale.core.block.Observation;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.line.Line;
+import garnetscale.core.machine.Address;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.quota.QuotaBook;
@@ -140,6 +141,17 @@
         fresh.keySet().removeIf(id -> now - freshAt.get(id) > 3 * params.listLagMs() + 60_000);
     }
 
+    /** Machines that are up by the list, with their addresses. */
+    public List<Address> book() {
+        List<Address> list = new ArrayList<>();
+        for (Listed m : listed.values()) {
+            if (!m.address().isEmpty() && m.state() == Listed.State.RUNNING) {
+                list.add(new Address(m.id(), m.address(), m.zone()));
+            }
+        }
+        return list;
+    }
+
     /** Machines that the cloud lists as failed: nothing is on them. */
     public List<String> failed() {
         return listed.values().stream().filter(m -> m.state() == Listed.State.FAILED).map(Listed::id).toList();
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -51,6 +51,10 @@
     private final Set<String> dead = new HashSet<>();
     private final Map<String, Long> nodeSince = new HashMap<>();
     private final Failures failures = new Failures();
+    /** Nodes that seem to be down before their lease has ended; only a reason to act sooner, never a proof. */
+    private final Set<String> suspects = new HashSet<>();
+    private long leaderSeenAt;
+    private LeaderInfo leaderSeen;
     private long incarnation = -1;
     private LeaderInfo acting;
     private long actingSince;
@@ -110,14 +114,36 @@
         return true;
     }
 
+    /** A node's process seems to be down, or is heard of again. */
+    public void suspect(String node, boolean down) {
+        if (down ? suspects.add(node) : suspects.remove(node)) {
+            log.accept("node " + node + (down ? " seems to be down" : " is heard of again"));
+        }
+    }
+
+    /**
+     * Whether to depose the present leader before its lease ends. Safe at any time, since every transaction of a
+     * leader is guarded by the key that this replaces; not to go on for ever between two nodes that refuse each
+     * other, a new leader is left alone for a while.
+     */
+    private boolean leaderIsDown(long now) {
+        LeaderInfo l = mirror.leader();
+        if (l == null || !l.equals(leaderSeen)) {
+            leaderSeen = l;
+            leaderSeenAt = now;
+        }
+        return l != null && suspects.contains(l.node()) && now - leaderSeenAt > 4 * params.nodeTtlMs();
+    }
+
     /**
      * The transaction that makes this node the leader, or null when there is one. The term comes from a counter
      * that the same transaction raises, so no two leaders share one.
      */
-    public Txn election() {
+    public Txn election(long now) {
         LeaderInfo l = mirror.leader();
         boolean stale = l != null && l.node().equals(params.self()) && l.incarnation() != incarnation;
-        if (l != null && !stale) {
+        boolean down = leaderIsDown(now);
+        if (l != null && !stale && !down) {
             return null;
         }
         // A leader key of this node's earlier process is replaced at once: a node runs one process at a time.
@@ -287,6 +313,9 @@
         for (String block : orphans) {
             NodeInfo best = null;
             for (NodeInfo n : mirror.nodes()) {
+                if (suspects.contains(n.name())) {
+                    continue;
+                }
                 if (best == null || cost(n, block, load) < cost(best, block, load)) {
                     best = n;
                 }
@@ -303,7 +332,7 @@
 
     private String blockToMove(long now, Map<String, Integer> load) {
         for (NodeInfo n : mirror.nodes()) {
-            if (load.containsKey(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
+            if (load.containsKey(n.name()) || suspects.contains(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
                 || now - actingSince < 2 * params.nodeTtlMs()) {
                 continue;
             }
@@ -334,6 +363,6 @@
 
     private boolean alive(BlockLease lease) {
         NodeInfo n = mirror.node(lease.holder());
-        return n != null && n.incarnation() == lease.incarnation();
+        return n != null && n.incarnation() == lease.incarnation() && !suspects.contains(n.name());
     }
 }
--- a/src/main/java/garnetscale/net/PeerLinks.java
+++ b/src/main/java/garnetscale/net/PeerLinks.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -44,12 +45,18 @@
     private final Map<String, Channel> links = new HashMap<>();
     private final Consumer<PeerMessage> receiver;
     private final Consumer<String> connected;
+    private final Consumer<String> refused;
 
-    /** Calls {@code connected} with a node's name whenever a link to it is new. */
-    public PeerLinks(EventLoopGroup loop, Consumer<PeerMessage> receiver, Consumer<String> connected) {
+    /**
+     * Calls {@code connected} with a node's name whenever a link to it is new, and {@code refused} when a link
+     * broke and the node refuses the next at once, as it does while its process is down (and at times otherwise).
+     */
+    public PeerLinks(EventLoopGroup loop, Consumer<PeerMessage> receiver, Consumer<String> connected,
+                     Consumer<String> refused) {
         this.loop = loop;
         this.receiver = receiver;
         this.connected = connected;
+        this.refused = refused;
     }
 
     public ChannelFuture listen(String hostPort) {
@@ -79,6 +86,10 @@
 
     /** Keeps a link to the node up, for as long as the process lives. */
     public void connect(String node, String hostPort) {
+        connect(node, hostPort, false);
+    }
+
+    private void connect(String node, String hostPort, boolean again) {
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -94,21 +105,24 @@
                 }
             }).connect(HttpClient.address(hostPort)).addListener((ChannelFutureListener) f -> {
                 if (!f.isSuccess()) {
-                    later(node, hostPort);
+                    if (again && f.cause() instanceof ConnectException) {
+                        refused.accept(node);
+                    }
+                    later(node, hostPort, 700, false);
                     return;
                 }
                 Channel c = f.channel();
                 links.put(node, c);
                 c.closeFuture().addListener(closed -> {
                     links.remove(node, c);
-                    later(node, hostPort);
+                    later(node, hostPort, 30, true);
                 });
                 connected.accept(node);
             });
     }
 
-    private void later(String node, String hostPort) {
-        loop.next().schedule(() -> connect(node, hostPort), 700, TimeUnit.MILLISECONDS);
+    private void later(String node, String hostPort, long ms, boolean again) {
+        loop.next().schedule(() -> connect(node, hostPort, again), ms, TimeUnit.MILLISECONDS);
     }
 
     /** Sends to a node if its link is up; false if it isn't. */
--- a/src/main/java/garnetscale/peer/PeerCodec.java
+++ b/src/main/java/garnetscale/peer/PeerCodec.java
@@ -4,6 +4,7 @@
 import garnetscale.core.bid.BidSheet;
 import garnetscale.core.block.Observation;
 import garnetscale.core.job.TaskId;
+import garnetscale.core.machine.Address;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.ReportedTask;
 import garnetscale.core.machine.TaskState;
@@ -53,6 +54,10 @@
             r = record("Heartbeat", h.node(), h.incarnation(), h.leaderTerm(), h.stateAgeMs());
         } else if (message instanceof PeerMessage.Seen s) {
             r = seen(s.observation());
+        } else if (message instanceof PeerMessage.Book b) {
+            List<GenericRecord> rows = new ArrayList<>();
+            b.machines().forEach(a -> rows.add(record("Address", a.machine(), a.address(), a.zone())));
+            r = record("Book", rows);
         } else if (message instanceof PeerMessage.Bids b) {
             r = bids(b.sheet());
         } else {
@@ -103,6 +108,7 @@
             return switch (r.getSchema().getName()) {
                 case "Heartbeat" -> new PeerMessage.Heartbeat(text(r, "node"), whole(r, "incarnation"),
                     whole(r, "leaderTerm"), whole(r, "stateAgeMs"));
+                case "Book" -> new PeerMessage.Book(book(r));
                 case "Observation" -> new PeerMessage.Seen(observation(r));
                 case "BidSheet" -> new PeerMessage.Bids(sheet(r));
                 default -> throw new IOException("not a message: " + r.getSchema().getName());
@@ -112,6 +118,15 @@
         }
     }
 
+    private static List<Address> book(GenericRecord r) {
+        List<Address> list = new ArrayList<>();
+        for (Object o : (List<?>) r.get("machines")) {
+            GenericRecord a = (GenericRecord) o;
+            list.add(new Address(text(a, "machine"), text(a, "address"), text(a, "zone")));
+        }
+        return List.copyOf(list);
+    }
+
     private static Observation observation(GenericRecord r) {
         List<ReportedTask> tasks = new ArrayList<>();
         for (Object o : (List<?>) r.get("tasks")) {
--- a/src/main/java/garnetscale/peer/PeerMessage.java
+++ b/src/main/java/garnetscale/peer/PeerMessage.java
@@ -2,6 +2,8 @@
 
 import garnetscale.core.bid.BidSheet;
 import garnetscale.core.block.Observation;
+import garnetscale.core.machine.Address;
+import java.util.List;
 
 /** What controllers say to each other. */
 public sealed interface PeerMessage {
@@ -15,6 +17,10 @@
     record Heartbeat(String node, long incarnation, long leaderTerm, long stateAgeMs) implements PeerMessage {
     }
 
+    /** The leader's list of machines. */
+    record Book(List<Address> machines) implements PeerMessage {
+    }
+
     record Seen(Observation observation) implements PeerMessage {
     }
 
