--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -272,6 +272,7 @@
         long now = now();
         try {
             holder.wallClock(System.currentTimeMillis() - now);
+            fleet.wallClock(System.currentTimeMillis() - now);
             leader.wallClock(System.currentTimeMillis() - now);
             holder.tick(now);
             holder.drain().forEach(this::carryOut);
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -6,6 +6,8 @@
 import garnetscale.core.bid.Estimator;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.line.Line;
+import garnetscale.core.line.LineOrder;
+import garnetscale.core.line.Scarcity;
 import garnetscale.core.machine.Address;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.MachineType;
@@ -78,6 +80,8 @@
     private final Mirror mirror;
     private final Blocks blocks;
     private final Estimator estimator;
+    private final LineOrder order;
+    private final Scarcity scarcity;
     private final Map<String, Held> held = new TreeMap<>();
     private final Map<String, MachineView> machines = new TreeMap<>();
     private final List<Effect> effects = new ArrayList<>();
@@ -91,6 +95,8 @@
         this.mirror = mirror;
         this.blocks = blocks;
         this.estimator = estimator;
+        this.order = new LineOrder(params);
+        this.scarcity = new Scarcity(params);
     }
 
     public List<Effect> drain() {
@@ -518,10 +524,11 @@
             return;
         }
         List<Bid> bids = new ArrayList<>();
-        List<JobView> waiting = Line.sort(mirror.jobs(), wallMs(now));
+        List<JobView> waiting = Line.sort(mirror.jobs(), order, wallMs(now));
         if (!waiting.isEmpty()) {
             QuotaBook quota = QuotaBook.of(params, mirror);
             waiting.removeIf(j -> !quota.allows(j.spec()));
+            scarcity.refresh(mirror.types(), waiting);
             for (MachineView m : machines.values()) {
                 bid(now, m, waiting, bids);
             }
@@ -559,7 +566,7 @@
         for (JobView job : new Line(waiting, type, r.zone(), r.spot()).jobs()) {
             JobSpec spec = job.spec();
             int slots = Math.min(room.slots(spec), job.unstarted());
-            if (slots > 0) {
+            if (slots > 0 && scarcity.mayTake(job, type, wallMs(now))) {
                 double fetch = m.images.containsKey(spec.image()) ? 0 : Estimator.fetchS(spec, type);
                 double finish = fetch + estimator.runS(spec, m.id);
                 // Tenths of a second, so that a sheet changes only when something has.
--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import garnetscale.core.block.Observation;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.line.Line;
+import garnetscale.core.line.LineOrder;
 import garnetscale.core.machine.Address;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
@@ -47,6 +48,8 @@
     private final Params params;
     private final Mirror mirror;
     private final Consumer<String> log;
+    private final LineOrder order;
+    private long wallOffset;
     private final Map<String, Listed> listed = new TreeMap<>();
     private final Map<String, Long> listedAt = new HashMap<>();
     /** Rented by this leader and not listed yet. */
@@ -70,6 +73,7 @@
         this.params = params;
         this.mirror = mirror;
         this.log = log;
+        this.order = new LineOrder(params);
     }
 
     /** A new leader starts from the cloud's list; what an earlier one had under way shows there. */
@@ -90,6 +94,10 @@
         rentAt = Long.MIN_VALUE / 2;
     }
 
+    public void wallClock(long offset) {
+        wallOffset = offset;
+    }
+
     /** The time between two calls, so that the cloud never has to refuse one. */
     public long spacingMs() {
         return Math.round(1200 / params.cloudRps());
@@ -235,7 +243,7 @@
         List<Supply> supply = supply(known);
         QuotaBook quota = QuotaBook.of(params, mirror);
         Map<Offer, Integer> wanted = new LinkedHashMap<>();
-        for (JobView job : Line.sort(mirror.jobs(), now)) {
+        for (JobView job : Line.sort(mirror.jobs(), order, now + wallOffset)) {
             int tasks = 0;
             while (tasks < job.unstarted() && quota.allows(job.spec())) {
                 quota.add(job.spec(), 1);
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -5,6 +5,7 @@
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.line.Line;
+import garnetscale.core.line.LineOrder;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.machine.Room;
@@ -26,21 +27,24 @@
     private final Auction auction;
     private final Map<String, MachineState> machines;
     private final int perMachine;
+    private final LineOrder order;
     private final Map<String, Room> rooms = new HashMap<>();
     /** Tasks of a job by zone, for jobs that are bound by where their other tasks are. */
     private final Map<String, Map<String, Integer>> zonesOfJob = new HashMap<>();
 
-    Awards(Mirror mirror, Auction auction, Map<String, MachineState> machines, int perMachine) {
+    Awards(Mirror mirror, Auction auction, Map<String, MachineState> machines, int perMachine,
+           LineOrder order) {
         this.mirror = mirror;
         this.auction = auction;
         this.machines = machines;
         this.perMachine = perMachine;
+        this.order = order;
     }
 
     /** Adds awards to the draft; returns how many. */
     int award(long now, long wallMs, Draft draft, Predicate<JobView> ready, LongSupplier attempts) {
         int awarded = 0;
-        List<JobView> waiting = Line.sort(mirror.jobs(), wallMs);
+        List<JobView> waiting = Line.sort(mirror.jobs(), order, wallMs);
         for (JobView job : waiting) {
             if (!ready.test(job) || !auction.closed(now, job)) {
                 continue;
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -9,6 +9,7 @@
 import garnetscale.core.block.NodeInfo;
 import garnetscale.core.block.Observation;
 import garnetscale.core.block.Terms;
+import garnetscale.core.line.LineOrder;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.machine.ReportedTask;
@@ -42,6 +43,7 @@
     private final Mirror mirror;
     private final Blocks blocks;
     private final Auction auction;
+    private final LineOrder order;
     private final Consumer<String> log;
     private final Map<String, MachineState> machines = new TreeMap<>();
     private final Map<Long, Exit> exits = new HashMap<>();
@@ -67,6 +69,7 @@
         this.mirror = mirror;
         this.blocks = blocks;
         this.log = log;
+        this.order = new LineOrder(params);
         this.auction = new Auction(mirror, params.windowMs());
     }
 
@@ -207,7 +210,7 @@
         Draft draft = new Draft(mirror, QuotaBook.of(params, mirror), params.txnOps());
         settle(now, draft);
         int perMachine = Math.max(8, params.valueBytes() / 64);
-        new Awards(mirror, auction, machines, perMachine).award(now, now + wallOffset, draft,
+        new Awards(mirror, auction, machines, perMachine, order).award(now, now + wallOffset, draft,
             job -> failures.mayStart(now, job.spec().id()), () -> Terms.attempt(acting.term(), ++sequence));
         for (JobView job : mirror.jobs()) {
             if (!job.live() && job.placedCount() == 0 && draft.hasRoomFor("", 10)) {
--- a/src/main/java/garnetscale/core/line/Line.java
+++ b/src/main/java/garnetscale/core/line/Line.java
@@ -17,13 +17,13 @@
     private final List<JobView> jobs = new ArrayList<>();
 
     /** Puts live jobs with unstarted tasks into the order that all lines share. */
-    public static List<JobView> sort(Iterable<JobView> all, long nowMs) {
+    public static List<JobView> sort(Iterable<JobView> all, LineOrder order, long nowMs) {
         record Keyed(double key, JobView job) {
         }
         List<Keyed> keyed = new ArrayList<>();
         for (JobView j : all) {
             if (j.live() && j.unstarted() > 0) {
-                keyed.add(new Keyed(LineOrder.key(j, nowMs), j));
+                keyed.add(new Keyed(order.key(j, nowMs), j));
             }
         }
         keyed.sort(Comparator.comparingDouble(Keyed::key).thenComparing(k -> k.job().spec().id()));
--- /dev/null
+++ b/src/main/java/garnetscale/core/line/Scarcity.java
@@ -0,0 +1,68 @@
+package garnetscale.core.line;
+
+import garnetscale.core.Params;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.store.JobView;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Keeps scarce types for those who can run nowhere else. By the plain rule an urgent small job takes the room of
+ * a large machine although small ones would do, and a large job behind it, which fits no other type, waits for
+ * it to end. So a machine doesn't bid for a job that has the choice while one that hasn't waits for its type; a
+ * job whose waiting objective is in danger has every machine again.
+ */
+public final class Scarcity {
+
+    /** The part of its waiting objective for which a job leaves scarce types to others. */
+    private static final double PATIENCE = 0.5;
+    private static final double DEFAULT_S = 10;
+
+    private final Map<String, Double> patienceS = new HashMap<>();
+    private final Map<String, Set<String>> typesOf = new HashMap<>();
+    private final List<Set<String>> bound = new ArrayList<>();
+
+    public Scarcity(Params params) {
+        for (Params.Objective o : params.objectives()) {
+            if (o.kind().equals("wait")) {
+                patienceS.merge(o.jobClass(), PATIENCE * o.withinS(), Math::min);
+            }
+        }
+    }
+
+    /** Looks at the jobs that wait now. */
+    public void refresh(List<MachineType> types, List<JobView> waiting) {
+        typesOf.clear();
+        bound.clear();
+        for (JobView job : waiting) {
+            Set<String> fitting = new HashSet<>();
+            for (MachineType t : types) {
+                if (t.fits(job.spec())) {
+                    fitting.add(t.name());
+                }
+            }
+            typesOf.put(job.spec().id(), fitting);
+            bound.add(fitting);
+        }
+    }
+
+    /** Whether a machine of the type may bid for the job. */
+    public boolean mayTake(JobView job, MachineType type, long nowMs) {
+        JobSpec spec = job.spec();
+        Set<String> mine = typesOf.get(spec.id());
+        if (mine == null || nowMs - job.job().submittedMs() > 1000 * patienceS.getOrDefault(spec.jobClass(), DEFAULT_S)) {
+            return true;
+        }
+        for (Set<String> other : bound) {
+            if (other.size() < mine.size() && other.contains(type.name()) && mine.containsAll(other)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
