--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -28,22 +28,34 @@
     private final Map<String, MachineState> machines;
     private final int perMachine;
     private final LineOrder order;
+    private final Reserve reserve;
     private final Map<String, Room> rooms = new HashMap<>();
     /** Tasks of a job by zone, for jobs that are bound by where their other tasks are. */
     private final Map<String, Map<String, Integer>> zonesOfJob = new HashMap<>();
 
     Awards(Mirror mirror, Auction auction, Map<String, MachineState> machines, int perMachine,
-           LineOrder order) {
+           LineOrder order, Reserve reserve) {
         this.mirror = mirror;
         this.auction = auction;
         this.machines = machines;
         this.perMachine = perMachine;
         this.order = order;
+        this.reserve = reserve;
     }
 
     /** Adds awards to the draft; returns how many. */
     int award(long now, long wallMs, Draft draft, Predicate<JobView> ready, LongSupplier attempts) {
         int awarded = 0;
+        reserve.observe(mirror.jobs());
+        double free = 0;
+        double fleet = 0;
+        for (MachineState m : machines.values()) {
+            if (m.last != null && !m.last.silent() && m.last.noticeS() == null && mirror.type(m.last.type()) != null) {
+                free += rooms.computeIfAbsent(m.id, id -> roomOf(draft, m)).cpus();
+                fleet += mirror.type(m.last.type()).cpus();
+            }
+        }
+        double kept = reserve.cpus(fleet);
         List<JobView> waiting = Line.sort(mirror.jobs(), order, wallMs);
         for (JobView job : waiting) {
             if (!ready.test(job) || !auction.closed(now, job)) {
@@ -60,6 +72,10 @@
                 }
                 Room room = rooms.computeIfAbsent(m.id, id -> roomOf(draft, m));
                 for (int i = 0; i < bid.slots() && next >= 0; i++) {
+                    if (free - job.spec().cpus() < kept && reserve.binds(job, wallMs)) {
+                        next = -1;
+                        break;
+                    }
                     if (!room.fits(job.spec()) || !draft.quota().allows(job.spec()) || !zoneAllows(draft, job, m)
                         || draft.placements(m.id).size() >= perMachine || !draft.hasRoomFor(m.id, 0)) {
                         break;
@@ -68,6 +84,7 @@
                         Placement.Stop.KEEP);
                     draft.place(m.id, m.last.zone(), p, job.spec());
                     room.take(job.spec());
+                    free -= job.spec().cpus();
                     if (bound(job.spec())) {
                         zones(draft, job).merge(m.last.zone(), 1, Integer::sum);
                     }
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -44,6 +44,7 @@
     private final Blocks blocks;
     private final Auction auction;
     private final LineOrder order;
+    private final Reserve reserve;
     private final Consumer<String> log;
     private final Map<String, MachineState> machines = new TreeMap<>();
     private final Map<Long, Exit> exits = new HashMap<>();
@@ -70,6 +71,7 @@
         this.blocks = blocks;
         this.log = log;
         this.order = new LineOrder(params);
+        this.reserve = new Reserve(params);
         this.auction = new Auction(mirror, params.windowMs());
     }
 
@@ -210,7 +212,7 @@
         Draft draft = new Draft(mirror, QuotaBook.of(params, mirror), params.txnOps());
         settle(now, draft);
         int perMachine = Math.max(8, params.valueBytes() / 64);
-        new Awards(mirror, auction, machines, perMachine, order).award(now, now + wallOffset, draft,
+        new Awards(mirror, auction, machines, perMachine, order, reserve).award(now, now + wallOffset, draft,
             job -> failures.mayStart(now, job.spec().id()), () -> Terms.attempt(acting.term(), ++sequence));
         for (JobView job : mirror.jobs()) {
             if (!job.live() && job.placedCount() == 0 && draft.hasRoomFor("", 10)) {
--- /dev/null
+++ b/src/main/java/garnetscale/core/lead/Reserve.java
@@ -0,0 +1,73 @@
+package garnetscale.core.lead;
+
+import garnetscale.core.Params;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.Priority;
+import garnetscale.core.store.JobView;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Room that is kept for classes which must start almost at once. A waiting objective shorter than two reports
+ * can't be met by room that has yet to come free, so less urgent work leaves as much free as such jobs usually
+ * take when they come. Work that has itself waited for long isn't held back any more.
+ */
+final class Reserve {
+
+    private static final double GAIN = 0.1;
+    /** The most that is kept, as a share of what the fleet has. */
+    private static final double MOST = 0.15;
+
+    private final Map<String, Double> tight = new HashMap<>();
+    private final Map<String, Double> patience = new HashMap<>();
+    private final Map<String, Double> sizes = new HashMap<>();
+    private final Set<String> seen = new HashSet<>();
+    private Priority lowest = Priority.CRITICAL;
+
+    Reserve(Params params) {
+        for (Params.Objective o : params.objectives()) {
+            if (o.kind().equals("wait") && o.withinS() * 1000 <= 2 * params.reportMs()) {
+                tight.put(o.jobClass(), o.withinS());
+            } else if (o.kind().equals("finished")) {
+                patience.merge(o.jobClass(), o.withinS() / 6, Math::min);
+            }
+        }
+    }
+
+    /** Learns how large jobs of the tight classes are. */
+    void observe(Iterable<JobView> jobs) {
+        Set<String> present = new HashSet<>();
+        for (JobView j : jobs) {
+            JobSpec s = j.spec();
+            if (tight.containsKey(s.jobClass())) {
+                present.add(s.id());
+                if (seen.add(s.id())) {
+                    double size = s.tasks() * s.cpus();
+                    sizes.merge(s.jobClass(), size, (old, now) -> old + GAIN * (now - old));
+                    if (s.priority().compareTo(lowest) > 0) {
+                        lowest = s.priority();
+                    }
+                }
+            }
+        }
+        seen.retainAll(present);
+    }
+
+    /** CPUs to leave free for the tight classes, of so many that the fleet has. */
+    double cpus(double fleet) {
+        double sum = 0;
+        for (double s : sizes.values()) {
+            sum += s;
+        }
+        return Math.min(MOST * fleet, sum);
+    }
+
+    /** Whether the job has to leave the reserve alone. */
+    boolean binds(JobView job, long wallMs) {
+        JobSpec s = job.spec();
+        return !tight.containsKey(s.jobClass()) && s.priority().compareTo(lowest) > 0
+            && wallMs - job.job().submittedMs() < 1000 * patience.getOrDefault(s.jobClass(), 30.0);
+    }
+}
