--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -9,6 +9,7 @@
 import garnetscale.core.fleet.CloudCall;
 import garnetscale.core.fleet.Fleet;
 import garnetscale.core.lead.Leader;
+import garnetscale.core.lead.Pipeline;
 import garnetscale.core.machine.Address;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Report;
@@ -17,6 +18,7 @@
 import garnetscale.core.store.Mirror;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.Txn;
+import garnetscale.core.store.TxnResult;
 import garnetscale.net.HttpClient;
 import garnetscale.net.HttpResult;
 import garnetscale.net.HttpServer;
@@ -59,6 +61,7 @@
     private final Estimator estimator = new Estimator();
     private final Holder holder;
     private final Leader leader;
+    private final Pipeline pipeline;
     private final Fleet fleet;
     private final StateLink state;
     private final CloudLink cloud;
@@ -69,10 +72,6 @@
     private final Map<String, Peer> heard = new HashMap<>();
     private boolean workQueued;
     private boolean electing;
-    private boolean txnUnderWay;
-    /** The leader key's stamp that a transaction of unknown outcome was guarded by, or -1. */
-    private long unknownStamp = -1;
-    private long awaitedLedger = -1;
     private long ledTerm = -1;
     private long planAgainAt = -1;
     private List<MachineType> types = List.of();
@@ -86,6 +85,7 @@
         Blocks blocks = new Blocks(params);
         this.holder = new Holder(params, mirror, blocks, estimator);
         this.leader = new Leader(params, mirror, blocks, LOG::info);
+        this.pipeline = new Pipeline(mirror, leader);
         this.fleet = new Fleet(params, mirror, LOG::info);
         this.state = new StateLink(params, loop.next(),
             new HttpClient(loop, 6, 1000), settings.state(), mirror, this);
@@ -352,7 +352,7 @@
         if (leader.leadingTerm() != ledTerm) {
             ledTerm = leader.leadingTerm();
             LOG.info("this node leads under term {}", ledTerm);
-            unknownStamp = -1;
+            pipeline.restart();
             fleet.start(now, ledTerm);
             lastBook = List.of();
             beat();
@@ -390,14 +390,7 @@
     }
 
     private void transact(long now) {
-        if (txnUnderWay || mirror.ledger() < awaitedLedger) {
-            return;
-        }
-        boolean fencing = unknownStamp >= 0 && mirror.stamp(Keys.LEADER) == unknownStamp;
-        if (!fencing) {
-            unknownStamp = -1;
-        }
-        Txn txn = fencing ? leader.fence() : nextChange(now);
+        Txn txn = pipeline.next(() -> nextChange(now));
         if (txn == null) {
             long wait = leader.nextPlan(now);
             if (wait > 0 && (planAgainAt < now || planAgainAt > now + wait)) {
@@ -406,27 +399,17 @@
             }
             return;
         }
-        txnUnderWay = true;
-        long stamp = mirror.stamp(Keys.LEADER);
         LOG.debug("{}", txn);
         state.lead(txn, (result, ledger) -> {
-            switch (result) {
-                case OK, CONFLICT -> {
-                    awaitedLedger = ledger;
-                    state.sync(ok -> queueWork());
-                }
-                case MAYBE, NO_LEASE -> {
-                    unknownStamp = stamp;
-                    state.sync(ok -> queueWork());
-                }
-                case REFUSED -> { }
+            pipeline.ended(result, ledger);
+            boolean good = result == TxnResult.OK || result == TxnResult.CONFLICT;
+            if (result != TxnResult.REFUSED) {
+                state.sync(ok -> queueWork());
             }
-            long pause = result == StateLink.Result.OK || result == StateLink.Result.CONFLICT ? 10
-                : 100 + ThreadLocalRandom.current().nextLong(100);
             loop.next().schedule(() -> {
-                txnUnderWay = false;
+                pipeline.ready();
                 queueWork();
-            }, pause, TimeUnit.MILLISECONDS);
+            }, good ? 10 : 100 + ThreadLocalRandom.current().nextLong(100), TimeUnit.MILLISECONDS);
         });
     }
 
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -7,6 +7,7 @@
 import garnetscale.core.store.Mirror;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.Txn;
+import garnetscale.core.store.TxnResult;
 import garnetscale.net.Budget;
 import garnetscale.net.HttpClient;
 import garnetscale.net.HttpResult;
@@ -29,11 +30,6 @@
  */
 final class StateLink {
 
-    /** How a transaction ended. MAYBE: it may have been applied, or may still be. */
-    enum Result {
-        OK, CONFLICT, NO_LEASE, REFUSED, MAYBE
-    }
-
     /** What the link tells the node. */
     interface Listener {
         void advanced();
@@ -157,9 +153,9 @@
         NodeInfo info = new NodeInfo(params.self(), mine, params.zoneOfNode(params.self()));
         send(new Txn().guard(key, mirror.stamp(key)).put(key, Records.node(info), mine), (result, ledger) -> {
             registering = false;
-            if (result == Result.NO_LEASE && lease == mine) {
+            if (result == TxnResult.NO_LEASE && lease == mine) {
                 lost();
-            } else if (result == Result.OK) {
+            } else if (result == TxnResult.OK) {
                 LOG.info("node {} is up as incarnation {}", params.self(), mine);
             }
             sync(ok -> register());
@@ -375,7 +371,7 @@
     }
 
     /** A leader's transaction; waits for its turn within the limits. */
-    void lead(Txn txn, BiConsumer<Result, Long> done) {
+    void lead(Txn txn, BiConsumer<TxnResult, Long> done) {
         long wait = writes.waitMs(now(), txn.ops().size());
         if (wait > 0) {
             loop.schedule(() -> lead(txn, done), wait, TimeUnit.MILLISECONDS);
@@ -386,40 +382,40 @@
     }
 
     /** A user's transaction; refused at once when the limits are used up. */
-    void submit(Txn txn, BiConsumer<Result, Long> done) {
+    void submit(Txn txn, BiConsumer<TxnResult, Long> done) {
         if (!submissions.take(now(), txn.ops().size())) {
-            done.accept(Result.REFUSED, -1L);
+            done.accept(TxnResult.REFUSED, -1L);
             return;
         }
         send(txn, done);
     }
 
     /** A transaction that can't wait, such as an election. */
-    void send(Txn txn, BiConsumer<Result, Long> done) {
+    void send(Txn txn, BiConsumer<TxnResult, Long> done) {
         http.call(host, HttpMethod.POST, "/multi", StateCodec.txn(txn), TIMEOUT_MS, r -> {
             try {
                 if (r.is(200)) {
                     worked();
-                    done.accept(Result.OK, StateCodec.ledger(r.body()));
+                    done.accept(TxnResult.OK, StateCodec.ledger(r.body()));
                 } else if (r.is(409)) {
                     worked();
-                    done.accept(Result.CONFLICT, StateCodec.ledger(r.body()));
+                    done.accept(TxnResult.CONFLICT, StateCodec.ledger(r.body()));
                 } else if (r.is(400)) {
                     LOG.debug("refused as malformed: {}", txn);
-                    done.accept(Result.NO_LEASE, -1L);
+                    done.accept(TxnResult.NO_LEASE, -1L);
                 } else if (r.outcome() == HttpResult.Outcome.NO_ANSWER || r.maybe()) {
                     failed("transaction", r);
-                    done.accept(Result.MAYBE, -1L);
+                    done.accept(TxnResult.MAYBE, -1L);
                 } else {
                     if (!r.is(429)) {
                         failed("transaction", r);
                     } else {
                         LOG.debug("state service: over the limit");
                     }
-                    done.accept(Result.REFUSED, -1L);
+                    done.accept(TxnResult.REFUSED, -1L);
                 }
             } catch (IOException e) {
-                done.accept(Result.MAYBE, -1L);
+                done.accept(TxnResult.MAYBE, -1L);
             }
         });
     }
--- a/src/main/java/garnetscale/standin/StandIns.java
+++ b/src/main/java/garnetscale/standin/StandIns.java
@@ -89,7 +89,7 @@
             }
 
             @Override
-            public void ended(String machine, TaskId task, long attempt) {
+            public void ended(String machine, TaskId task, long attempt, boolean completed) {
                 // As above.
             }
         });
--- a/src/main/java/garnetscale/standin/WorkerModel.java
+++ b/src/main/java/garnetscale/standin/WorkerModel.java
@@ -24,7 +24,7 @@
     public interface Watcher {
         void began(String machine, TaskId task, long attempt);
 
-        void ended(String machine, TaskId task, long attempt);
+        void ended(String machine, TaskId task, long attempt, boolean completed);
     }
 
     private static final class Running {
@@ -80,7 +80,7 @@
     /** Lets time pass: fetches and runs end, and a lease that wasn't renewed ends the session. */
     public void advance(long now) {
         if (now - leaseFrom > leaseMs) {
-            tasks.values().forEach(this::ended);
+            tasks.values().forEach(t -> ended(t, false));
             tasks.clear();
             shift++;
             leaseFrom = now;
@@ -101,14 +101,14 @@
     }
 
     private void exit(Running t, ExitCause cause) {
-        ended(t);
+        ended(t, cause == ExitCause.DONE);
         t.state = TaskState.EXITED;
         t.cause = cause;
     }
 
-    private void ended(Running t) {
+    private void ended(Running t, boolean completed) {
         if (t.state == TaskState.RUNNING) {
-            watcher.ended(id, t.id, t.attempt);
+            watcher.ended(id, t.id, t.attempt, completed);
         }
     }
 
--- /dev/null
+++ b/src/test/java/garnetscale/core/sim/SimulationTest.java
@@ -0,0 +1,91 @@
+package garnetscale.core.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Many seeded days of failures, singly and together, with PROTOCOL's rules watched from outside. */
+class SimulationTest {
+
+    private static final int SEEDS = 60;
+    private static final long TROUBLE = 150_000;
+
+    /** Plays a day; the jobs must all be over some time after the last failure. */
+    private static World day(long seed, World.Fault fault) {
+        World w = new World(seed, fault);
+        List<String> jobs = new ArrayList<>();
+        for (int i = 0; i < 14; i++) {
+            String id = "wk-" + i;
+            jobs.add(id);
+            String team = w.random.nextBoolean() ? "red" : "blue";
+            int tasks = 1 + w.random.nextInt(12);
+            double cpus = 1 + w.random.nextInt(4);
+            double seconds = 1 + w.random.nextInt(25);
+            w.at(w.random.nextInt((int) TROUBLE), () -> w.submit(id, team, tasks, cpus, seconds));
+            if (w.random.nextInt(4) == 0) {
+                w.at(w.random.nextInt((int) TROUBLE) + 20_000, () -> w.cancel(id));
+            }
+        }
+        for (int i = 0; i < 10; i++) {
+            w.at(5000 + w.random.nextInt((int) TROUBLE - 5000), () -> trouble(w));
+        }
+        w.run(TROUBLE);
+        for (long t = TROUBLE; t < TROUBLE + 500_000; t += 5000) {
+            w.run(t);
+            if (jobs.stream().filter(j -> w.rules.jobs.containsKey(j)).allMatch(w::poll)) {
+                w.run(t + 70_000);
+                jobs.forEach(w::poll);
+                return w;
+            }
+        }
+        jobs.stream().filter(j -> !w.poll(j)).forEach(j -> w.rules.broken.add("never over: " + j));
+        return w;
+    }
+
+    private static void trouble(World w) {
+        String node = w.nodes.get(w.random.nextInt(3)).name;
+        String worker = w.workers.get(w.random.nextInt(w.workers.size())).id;
+        long ms = 1000 + w.random.nextInt(40_000);
+        switch (w.random.nextInt(9)) {
+            case 0 -> w.nodes.get(w.random.nextInt(3)).crash(w.random.nextInt(3) == 0 ? 100 : 5000);
+            case 1 -> w.nodes.forEach(n -> n.crash(4000 + w.random.nextInt(2000)));
+            case 2 -> w.cut(node, ms);
+            case 3 -> w.cut(worker, ms);
+            case 4 -> w.cut(node + ">state", ms);
+            case 5 -> {
+                w.cut(node + ">state", ms);
+                w.cut("state>" + node, ms);
+            }
+            case 6 -> {
+                w.outageUntil = w.now + ms;
+                w.at(ms, () -> w.state.refreshLeases(w.now));
+            }
+            case 7 -> w.cut(worker + ">" + node, ms);
+            default -> w.cut(node + ">" + worker, ms);
+        }
+    }
+
+    @Test
+    void noRuleIsBrokenWhateverFails() {
+        int starts = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            World w = day(seed, World.Fault.NONE);
+            assertEquals(List.of(), w.rules.broken, "seed " + seed);
+            starts += w.rules.starts;
+        }
+        assertTrue(starts > 20 * SEEDS, "only " + starts + " starts");
+    }
+
+    @Test
+    void freeingWithoutProofIsCaught() {
+        List<String> broken = new ArrayList<>();
+        for (long seed = 1; seed <= 5; seed++) {
+            broken.addAll(day(seed, World.Fault.FREE_UNSEEN).rules.broken);
+        }
+        assertFalse(broken.stream().noneMatch(b -> b.contains("ran_twice")), broken.toString());
+    }
+}
--- /dev/null
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -0,0 +1,512 @@
+package garnetscale.core.sim;
+
+import garnetscale.core.Params;
+import garnetscale.core.bid.Estimator;
+import garnetscale.core.block.Blocks;
+import garnetscale.core.block.Holder;
+import garnetscale.core.block.LeaderInfo;
+import garnetscale.core.block.NodeInfo;
+import garnetscale.core.job.JobRecord;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.JobState;
+import garnetscale.core.job.Priority;
+import garnetscale.core.lead.Leader;
+import garnetscale.core.lead.Pipeline;
+import garnetscale.core.machine.Address;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Report;
+import garnetscale.core.store.Change;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Mirror;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.Txn;
+import garnetscale.core.store.TxnResult;
+import garnetscale.standin.StateModel;
+import garnetscale.standin.WorkerModel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * Controllers' cores, workers and a state service in one simulated time. Messages are delayed, lost, repeated and
+ * held for minutes; nodes crash and come back; anything can be cut off. Everything follows from the seed.
+ */
+final class World {
+
+    static final MachineType TYPE = new MachineType("t", 8, 0, 32, 20, 1, 1, 0.5, 20, List.of("a", "b"));
+    static final long REPORT = 1000;
+    static final long LEASE = 10_000;
+    static final long CANCEL = 35_000;
+
+    /** A deliberate mistake, to show that the rules are watched. */
+    enum Fault {
+        NONE, FREE_UNSEEN, NO_FENCE
+    }
+
+    private record Event(long at, long order, Runnable run) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+        }
+    }
+
+    final Random random;
+    final Rules rules;
+    final StateModel state = new StateModel();
+    final List<Node> nodes = new ArrayList<>();
+    final List<Worker> workers = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<String, Long> cutUntil = new HashMap<>();
+    private final Fault fault;
+    private long order;
+    long now;
+    long outageUntil;
+    double loss = 0.002;
+
+    World(long seed, Fault fault) {
+        this.random = new Random(seed);
+        this.fault = fault;
+        this.rules = new Rules(Map.of("red", 24.0, "blue", 16.0), CANCEL, () -> now);
+        state.commit(new Txn().put(Keys.TYPES, Records.types(List.of(TYPE))));
+        for (int i = 0; i < 3; i++) {
+            nodes.add(new Node("n" + i));
+        }
+        for (int i = 0; i < 6; i++) {
+            workers.add(new Worker("m-00000" + i, i % 2 == 0 ? "a" : "b"));
+        }
+        every(250, this::sweep);
+    }
+
+    static Params params(String self) {
+        return new Params(self, List.of(new Params.Member("n0", "a", ""), new Params.Member("n1", "b", ""),
+            new Params.Member("n2", "a", "")), List.of("a", "b"),
+            Params.byName(List.of(new Params.Team("red", 8, 24, 0, Double.POSITIVE_INFINITY),
+                new Params.Team("blue", 8, 16, 0, Double.POSITIVE_INFINITY))),
+            List.of(new Params.Objective("wait", "c", 2, 0.9, 0)), REPORT, LEASE, CANCEL, 24, 150, 60, 16384, 1.5, 10_000,
+            600, 25);
+    }
+
+    // ---- time
+
+    void at(long delay, Runnable run) {
+        events.add(new Event(now + delay, order++, run));
+    }
+
+    private void every(long period, Runnable run) {
+        at(period, () -> {
+            run.run();
+            every(period, run);
+        });
+    }
+
+    void run(long until) {
+        while (!events.isEmpty() && events.peek().at <= until) {
+            Event e = events.poll();
+            now = e.at;
+            e.run.run();
+        }
+        now = until;
+    }
+
+    private void sweep() {
+        if (now >= outageUntil) {
+            state.expire(now);
+        }
+        workers.forEach(w -> w.model.advance(now));
+        rules.check();
+    }
+
+    // ---- network
+
+    void cut(String who, long ms) {
+        cutUntil.put(who, now + ms);
+    }
+
+    private boolean isCut(String a, String b) {
+        return now < cutUntil.getOrDefault(a, 0L) || now < cutUntil.getOrDefault(b, 0L)
+            || now < cutUntil.getOrDefault(a + ">" + b, 0L);
+    }
+
+    /**
+     * Sends a message one way. During a cut it is held and delivered after it; now and then one is lost, or comes
+     * twice, the second time much later.
+     */
+    void send(String from, String to, Runnable deliver) {
+        long delay = 1 + random.nextInt(random.nextInt(20) == 0 ? 300 : 6);
+        if (isCut(from, to)) {
+            if (random.nextBoolean()) {
+                long end = Math.max(cutUntil.getOrDefault(from, 0L),
+                    Math.max(cutUntil.getOrDefault(to, 0L), cutUntil.getOrDefault(from + ">" + to, 0L)));
+                at(end - now + delay, deliver);
+            }
+            return;
+        }
+        if (random.nextDouble() < loss) {
+            return;
+        }
+        at(delay, deliver);
+        if (random.nextInt(200) == 0) {
+            at(delay + random.nextInt(60_000), deliver);
+        }
+    }
+
+    // ---- users
+
+    void submit(String id, String team, int tasks, double cpus, double seconds) {
+        JobSpec job = new JobSpec(id, "c", team, Priority.NORMAL, tasks, cpus, 0, 1, null, null, false, false, true,
+            "img", 0.5, seconds, 0, 0, null);
+        rules.jobs.put(id, job);
+        state.commit(new Txn().guard(Keys.job(id), 0)
+            .put(Keys.job(id), Records.job(new JobRecord(job, JobState.LIVE, now))));
+        rules.told(id, "LIVE");
+    }
+
+    void cancel(String id) {
+        StateModel.Entry e = state.get(Keys.job(id));
+        if (e == null || now < outageUntil) {
+            return;
+        }
+        JobRecord r = Records.job(id, e.value());
+        state.commit(new Txn().guard(Keys.job(id), e.stamp()).put(Keys.job(id), Records.job(r.withState(JobState.CANCELLED))));
+        rules.told(id, "CANCELLED");
+    }
+
+    /** What users would be told now; true when the job is over. */
+    boolean poll(String id) {
+        StateModel.Entry over = state.get(Keys.archived(id));
+        if (over != null) {
+            rules.told(id, Records.archived(over.value()).state().name());
+            return true;
+        }
+        StateModel.Entry e = state.get(Keys.job(id));
+        if (e == null) {
+            rules.broken.add(now + " forgotten: " + id);
+            return true;
+        }
+        rules.told(id, Records.job(id, e.value()).state().name());
+        return false;
+    }
+
+    // ---- workers
+
+    final class Worker {
+
+        final WorkerModel model;
+        final String id;
+        private int target;
+        private long generation;
+
+        Worker(String id, String zone) {
+            this.id = id;
+            this.model = new WorkerModel(id, id, TYPE, zone, LEASE, 0, rules.jobs::get, rules);
+            at(random.nextInt(1000), this::report);
+        }
+
+        /** One report in flight at a time; its answer counts for four seconds. */
+        private void report() {
+            model.advance(now);
+            Report r = model.report();
+            long mine = ++generation;
+            long sentAt = now;
+            Node node = nodes.get(target % nodes.size());
+            send(id, node.name, () -> node.onReport(r, reply -> send(node.name, id, () -> {
+                if (mine == generation) {
+                    generation++;
+                    answered(r, sentAt, reply);
+                }
+            })));
+            at(4000, () -> {
+                if (mine == generation) {
+                    generation++;
+                    next(1000);
+                }
+            });
+        }
+
+        private void answered(Report r, long sentAt, Holder.Reply reply) {
+            if (reply instanceof Holder.Reply.Answer a) {
+                model.answered(now, sentAt, r.shift(), a.token(), a.orders());
+                at(REPORT * 3 / 4 + random.nextInt((int) REPORT / 2), this::report);
+            } else if (reply instanceof Holder.Reply.Redirect to && to.node() != null) {
+                target = Integer.parseInt(to.node().substring(1));
+                at(random.nextInt(500), this::report);
+            } else {
+                next(1000);
+            }
+        }
+
+        private void next(long pause) {
+            target++;
+            at(pause, this::report);
+        }
+    }
+
+    // ---- controllers
+
+    final class Node {
+
+        final String name;
+        private Mirror mirror;
+        private Holder holder;
+        private Leader leader;
+        private Pipeline pipeline;
+        private long lease;
+        private boolean listing;
+        private long leadTerm;
+        /** Of this process; what was meant for an earlier one is dropped. */
+        private int life;
+        private boolean up;
+
+        Node(String name) {
+            this.name = name;
+            start();
+        }
+
+        private void start() {
+            life++;
+            up = true;
+            mirror = new Mirror();
+            Params p = params(name);
+            Blocks blocks = new Blocks(p);
+            holder = new Holder(p, mirror, blocks, new Estimator());
+            leader = new Leader(p, mirror, blocks, s -> { });
+            pipeline = new Pipeline(mirror, leader);
+            lease = -1;
+            leadTerm = -1;
+            listing = false;
+            int mine = life;
+            loop(mine, 20 + random.nextInt(30), this::work);
+            loop(mine, 400, this::renew);
+            loop(mine, 60, this::follow);
+            loop(mine, 1000, () -> {
+                if (leader.leadingTerm() >= 0) {
+                    List<Address> book = workers.stream()
+                        .map(w -> new Address(w.id, w.id, w.model.report().zone())).toList();
+                    peers(n -> n.holder.onBook(book));
+                }
+            });
+        }
+
+        private void loop(int mine, long period, Runnable run) {
+            at(period, () -> {
+                if (life == mine && up) {
+                    run.run();
+                    loop(mine, period, run);
+                }
+            });
+        }
+
+        void crash(long downMs) {
+            up = false;
+            life++;
+            at(downMs, this::start);
+        }
+
+        private void peers(Consumer<Node> message) {
+            for (Node n : nodes) {
+                if (n == this) {
+                    message.accept(n);
+                } else {
+                    send(name, n.name, () -> {
+                        if (n.up) {
+                            message.accept(n);
+                        }
+                    });
+                }
+            }
+        }
+
+        /** A request to the state service; the answer is dropped when this process is over or too late. */
+        private <T> void ask(java.util.function.Supplier<T> request, T refused, Consumer<T> answer, Runnable lost) {
+            int mine = life;
+            boolean[] over = new boolean[1];
+            send(name, "state", () -> {
+                T result = now < outageUntil ? refused : request.get();
+                send("state", name, () -> {
+                    if (life == mine && !over[0]) {
+                        over[0] = true;
+                        answer.accept(result);
+                    }
+                });
+            });
+            at(2000, () -> {
+                if (life == mine && !over[0]) {
+                    over[0] = true;
+                    lost.run();
+                }
+            });
+        }
+
+        private void renew() {
+            if (lease < 0) {
+                ask(() -> state.grant(now, 1500), -1L, id -> {
+                    if (lease < 0 && id >= 0) {
+                        lease = id;
+                    }
+                }, () -> { });
+                return;
+            }
+            long mine = lease;
+            ask(() -> state.touch(now, mine) ? 1 : 0, -1, ok -> {
+                if (ok == 0 && lease == mine) {
+                    lease = -1;
+                    holder.incarnate(-1);
+                    leader.incarnate(-1);
+                }
+            }, () -> { });
+        }
+
+        private record Answer(List<Change> changes, long ledger) {
+        }
+
+        private void follow() {
+            long sentAt = now;
+            boolean list = !mirror.loaded();
+            if (list && listing) {
+                return;
+            }
+            listing = list;
+            long since = mirror.ledger();
+            ask(() -> new Answer(list ? state.list(Keys.MIRRORED, null, 10_000) : state.changes(Keys.MIRRORED, since),
+                state.ledger()), new Answer(null, 0), a -> {
+                    listing = false;
+                    if (a.changes() == null) {
+                        return;
+                    }
+                    if (list) {
+                        mirror.reset(a.changes(), a.ledger());
+                    } else {
+                        mirror.advance(a.changes(), a.ledger());
+                    }
+                    holder.confirmed(sentAt);
+                }, () -> listing = false);
+        }
+
+        private void register() {
+            NodeInfo me = mirror.node(name);
+            if (lease >= 0 && (me == null || me.incarnation() != lease)) {
+                commit(new Txn().guard(Keys.node(name), mirror.stamp(Keys.node(name)))
+                    .put(Keys.node(name), Records.node(new NodeInfo(name, lease, params(name).zoneOfNode(name))), lease),
+                    (r, l) -> { });
+            } else if (lease >= 0) {
+                holder.incarnate(lease);
+                leader.incarnate(lease);
+            }
+        }
+
+        private void commit(Txn txn, BiConsumer<TxnResult, Long> done) {
+            ask(() -> {
+                int status = state.commit(txn);
+                return new Object[] {status == 200 ? TxnResult.OK : status == 409 ? TxnResult.CONFLICT
+                    : TxnResult.NO_LEASE, state.ledger()};
+            }, new Object[] {TxnResult.REFUSED, -1L}, r -> done.accept((TxnResult) r[0], (Long) r[1]),
+                () -> done.accept(TxnResult.MAYBE, -1L));
+        }
+
+        private void work() {
+            if (!mirror.loaded()) {
+                return;
+            }
+            register();
+            holder.tick(now);
+            holder.drain().forEach(this::carryOut);
+            if (lease < 0) {
+                return;
+            }
+            if (!leader.leads(now)) {
+                leadTerm = -1;
+                Txn election = leader.election(now);
+                if (election != null && random.nextInt(4) == 0) {
+                    commit(election, (r, l) -> { });
+                }
+                return;
+            }
+            if (leader.leadingTerm() != leadTerm) {
+                leadTerm = leader.leadingTerm();
+                pipeline.restart();
+                peers(n -> n.holder.retell(now));
+            }
+            if (fault == Fault.FREE_UNSEEN && random.nextInt(50) == 0) {
+                leader.onMachineDead(workers.get(random.nextInt(workers.size())).id);
+            }
+            Txn txn = pipeline.next(() -> leader.plan(now));
+            if (txn != null) {
+                commit(txn, (result, ledger) -> {
+                    pipeline.ended(fault == Fault.NO_FENCE && result == TxnResult.MAYBE ? TxnResult.REFUSED : result, ledger);
+                    pipeline.ready();
+                });
+            }
+        }
+
+        void onReport(Report r, Consumer<Holder.Reply> answer) {
+            if (up && mirror.loaded()) {
+                answer.accept(holder.onReport(now, r));
+                holder.drain().forEach(this::carryOut);
+            }
+        }
+
+        private void carryOut(Holder.Effect e) {
+            LeaderInfo l = mirror.leader();
+            if (e instanceof Holder.Effect.Command c) {
+                command(c);
+            } else if (e instanceof Holder.Effect.Probe p) {
+                WorkerModel w = worker(p.machine()).model;
+                int mine = life;
+                send(name, p.machine(), () -> {
+                    w.advance(now);
+                    Report r = w.report();
+                    send(p.machine(), name, () -> {
+                        if (life == mine) {
+                            holder.onProbeAnswer(now, r);
+                        }
+                    });
+                });
+            } else if (l != null) {
+                Node to = nodes.get(Integer.parseInt(l.node().substring(1)));
+                Consumer<Node> message = e instanceof Holder.Effect.Tell t
+                    ? n -> n.leader.onObservation(now, t.observation())
+                    : n -> n.leader.onBids(now, ((Holder.Effect.Offer) e).sheet());
+                if (to == this) {
+                    message.accept(this);
+                } else {
+                    send(name, to.name, () -> {
+                        if (to.up) {
+                            message.accept(to);
+                        }
+                    });
+                }
+            }
+        }
+
+        private void command(Holder.Effect.Command c) {
+            WorkerModel w = worker(c.machine()).model;
+            int mine = life;
+            boolean[] over = new boolean[1];
+            send(name, c.machine(), () -> {
+                w.command(now, c.token(), c.shift(), c.orders());
+                Report r = w.report();
+                send(c.machine(), name, () -> {
+                    if (life == mine && !over[0]) {
+                        over[0] = true;
+                        holder.onCommandAnswer(now, c.machine(), c.token(), r);
+                    }
+                });
+            });
+            at(4000, () -> {
+                if (life == mine && !over[0]) {
+                    over[0] = true;
+                    holder.onCommandLost(now, c.machine(), c.token());
+                }
+            });
+        }
+    }
+
+    Worker worker(String id) {
+        return workers.stream().filter(w -> w.id.equals(id)).findFirst().orElseThrow();
+    }
+}
