--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -284,6 +284,9 @@
         if (m.last != null && r.shift() > m.last.shift()) {
             m.runningSince.clear();
             m.startsInAnswer.clear();
+            // A new session has a whole lease of its own. Without this a machine whose new session was first seen
+            // in the answer to a command counted as dead by the old one's time, and its tasks ran twice.
+            m.answeredAt = now;
         }
         Set<Long> seen = new HashSet<>();
         for (ReportedTask t : r.tasks()) {
