--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -209,12 +209,12 @@
     // ---- peers
 
     private void onRefused(String node) {
-        leader.suspect(node, true);
+        leader.suspect(now(), node, true);
         queueWork();
     }
 
     private void onLink(String node) {
-        leader.suspect(node, false);
+        leader.suspect(now(), node, false);
         if (leader.leadingTerm() >= 0) {
             peers.send(node, new PeerMessage.Book(fleet.book()));
         }
@@ -231,12 +231,20 @@
     }
 
     private void beat() {
+        heard.forEach((node, peer) -> {
+            if (now() - peer.at() > 4 * HEARTBEAT_MS) {
+                leader.suspect(now(), node, true);
+            }
+        });
         peers.sendAll(heartbeat());
     }
 
     private void onPeer(PeerMessage m) {
         if (m instanceof PeerMessage.Heartbeat h) {
             Peer before = heard.put(h.node(), new Peer(h, now()));
+            if (before == null || now() - before.at() < 2 * HEARTBEAT_MS) {
+                leader.suspect(now(), h.node(), false);
+            }
             if (h.leaderTerm() >= 0 && (before == null || before.last().leaderTerm() != h.leaderTerm())) {
                 holder.retell(now());
                 queueWork();
@@ -417,7 +425,8 @@
         if (!types.isEmpty() && mirror.types().isEmpty()) {
             return new Txn().guard(Keys.LEADER, mirror.stamp(Keys.LEADER)).put(Keys.TYPES, Records.types(types));
         }
-        return leader.plan(now);
+        Txn resignation = leader.leads(now) ? leader.resignation(now) : null;
+        return resignation != null ? resignation : leader.plan(now);
     }
 
     private void onTypes(List<MachineType> list) {
--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -217,7 +217,7 @@
                 log.accept("machine " + m.id() + " is not up after " + Math.round(ageS) + " s and is given up");
                 ids.add(m.id());
             } else if (m.state() == Listed.State.RUNNING && (o == null || o.silent())
-                && now - startedAt > params.fenceMs() && silentFor(now, m.id(), o)) {
+                && now - startedAt > params.leaseMs() && hopeless(now, m.id(), known)) {
                 log.accept("machine " + m.id() + " stays silent and is given up");
                 ids.add(m.id());
             }
@@ -231,8 +231,17 @@
 
     private final Map<String, Long> silentSince = new HashMap<>();
 
-    private boolean silentFor(long now, String id, Observation o) {
-        return now - silentSince.computeIfAbsent(id, k -> now) > 2 * params.leaseMs() + 10_000;
+    /**
+     * Whether a silent machine is to be deleted. One with work on it is, once half its lease is over: the answer
+     * to the delete proves the work gone, which waiting would prove only later. Not when many are silent at once:
+     * then it is rather the network, and they will be heard of again.
+     */
+    private boolean hopeless(long now, String id, Map<String, Observation> known) {
+        long silent = now - silentSince.computeIfAbsent(id, k -> now);
+        long others = known.values().stream().filter(Observation::silent).count();
+        boolean few = others <= Math.max(2, known.size() / 8);
+        return silent > params.fenceMs() + 2 * params.leaseMs()
+            || few && !mirror.placements(id).isEmpty() && silent > params.leaseMs() / 2;
     }
 
     private CloudCall rent(long now, Map<String, Observation> known) {
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -54,8 +54,11 @@
     private final Set<String> dead = new HashSet<>();
     private final Map<String, Long> nodeSince = new HashMap<>();
     private final Failures failures = new Failures();
-    /** Nodes that seem to be down before their lease has ended; only a reason to act sooner, never a proof. */
-    private final Set<String> suspects = new HashSet<>();
+    /** Nodes that this one can't speak with, since when; only a reason to act sooner, never a proof. */
+    private final Map<String, Long> suspects = new HashMap<>();
+    /** When a block was last moved because none of its machines was heard of. */
+    private final Map<String, Long> movedAt = new HashMap<>();
+    private long notBefore = Long.MIN_VALUE;
     private long leaderSeenAt;
     private LeaderInfo leaderSeen;
     private long incarnation = -1;
@@ -113,6 +116,7 @@
             gone.clear();
             dead.clear();
             nodeSince.clear();
+            movedAt.clear();
             auction.clear();
             log.accept("leads under term " + term);
         }
@@ -120,16 +124,29 @@
     }
 
     /** A node's process seems to be down, or is heard of again. */
-    public void suspect(String node, boolean down) {
-        if (down ? suspects.add(node) : suspects.remove(node)) {
+    public void suspect(long now, String node, boolean down) {
+        if (down ? suspects.putIfAbsent(node, now) == null : suspects.remove(node) != null) {
             log.accept("node " + node + (down ? " seems to be down" : " is heard of again"));
         }
     }
 
+    /** A leader that no machine is heard of under, although there are some, makes room for one that may do better. */
+    public Txn resignation(long now) {
+        long patience = 2 * params.nodeTtlMs() + 4 * params.reportMs();
+        boolean deaf = machines.values().stream().allMatch(m -> m.last.silent());
+        if (!deaf || machines.isEmpty() && mirror.placedMachines().isEmpty() || mirror.nodes().size() < 2
+            || now - actingSince < patience || now < notBefore) {
+            return null;
+        }
+        notBefore = now + 4 * patience;
+        log.accept("steps down: no machine is heard of");
+        return new Txn().guard(Keys.LEADER, mirror.stamp(Keys.LEADER)).delete(Keys.LEADER);
+    }
+
     /**
      * Whether to depose the present leader before its lease ends. Safe at any time, since every transaction of a
      * leader is guarded by the key that this replaces; not to go on for ever between two nodes that refuse each
-     * other, a new leader is left alone for a while.
+     * other, only a fresh suspicion counts: who outlives it by a lease wasn't down.
      */
     private boolean leaderIsDown(long now) {
         LeaderInfo l = mirror.leader();
@@ -137,7 +154,8 @@
             leaderSeen = l;
             leaderSeenAt = now;
         }
-        return l != null && suspects.contains(l.node()) && now - leaderSeenAt > 4 * params.nodeTtlMs();
+        return l != null && suspects.containsKey(l.node())
+            && now - suspects.get(l.node()) < params.nodeTtlMs() && now - leaderSeenAt > 4 * params.nodeTtlMs();
     }
 
     /**
@@ -148,6 +166,9 @@
         LeaderInfo l = mirror.leader();
         boolean stale = l != null && l.node().equals(params.self()) && l.incarnation() != incarnation;
         boolean down = leaderIsDown(now);
+        if (now < notBefore && mirror.nodes().size() > 1) {
+            return null;
+        }
         if (l != null && !stale && !down) {
             return null;
         }
@@ -299,10 +320,15 @@
         nodeSince.keySet().removeIf(n -> mirror.nodes().stream().noneMatch(i -> key(i).equals(n)));
         mirror.nodes().forEach(n -> nodeSince.putIfAbsent(key(n), now));
         Map<String, Integer> load = new HashMap<>();
+        Map<String, String> deafHolder = new HashMap<>();
         List<String> orphans = new ArrayList<>();
         for (String block : blocks.all()) {
             BlockLease lease = mirror.block(block);
-            if (lease != null && alive(lease)) {
+            if (lease != null && alive(lease) && isDeaf(now, block)) {
+                movedAt.put(block, now);
+                deafHolder.put(block, lease.holder());
+                orphans.add(block);
+            } else if (lease != null && alive(lease)) {
                 load.merge(lease.holder(), 1, Integer::sum);
             } else {
                 orphans.add(block);
@@ -318,7 +344,7 @@
         for (String block : orphans) {
             NodeInfo best = null;
             for (NodeInfo n : mirror.nodes()) {
-                if (suspects.contains(n.name())) {
+                if (suspects.containsKey(n.name()) || n.name().equals(deafHolder.get(block))) {
                     continue;
                 }
                 if (best == null || cost(n, block, load) < cost(best, block, load)) {
@@ -335,14 +361,35 @@
         return txn.ops().isEmpty() ? null : txn;
     }
 
+    /**
+     * Whether the holder hears none of the block's machines, which are several: it may be cut off from the workers
+     * while the state service and its peers still reach it.
+     */
+    private boolean isDeaf(long now, String block) {
+        int silent = 0;
+        for (MachineState m : machines.values()) {
+            if (m.last.block().equals(block)) {
+                if (!m.last.silent()) {
+                    return false;
+                }
+                silent++;
+            }
+        }
+        return silent > 1 && mirror.nodes().size() > 1
+            && now - movedAt.getOrDefault(block, actingSince) > 2 * params.nodeTtlMs() + 4 * params.reportMs();
+    }
+
     private String blockToMove(long now, Map<String, Integer> load) {
         for (NodeInfo n : mirror.nodes()) {
-            if (load.containsKey(n.name()) || suspects.contains(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
+            if (load.getOrDefault(n.name(), 0) > 0 || suspects.containsKey(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
                 || now - actingSince < 2 * params.nodeTtlMs()) {
                 continue;
             }
             for (String block : blocks.all()) {
                 BlockLease lease = mirror.block(block);
+                if (now - movedAt.getOrDefault(block, Long.MIN_VALUE / 2) < 8 * params.nodeTtlMs()) {
+                    continue;
+                }
                 boolean crowded = load.getOrDefault(lease.holder(), 0) > 1;
                 if (Blocks.zoneOf(block).equals(n.zone()) && (crowded || !zone(lease.holder()).equals(n.zone()))) {
                     load.merge(lease.holder(), -1, Integer::sum);
@@ -368,6 +415,6 @@
 
     private boolean alive(BlockLease lease) {
         NodeInfo n = mirror.node(lease.holder());
-        return n != null && n.incarnation() == lease.incarnation() && !suspects.contains(n.name());
+        return n != null && n.incarnation() == lease.incarnation() && !suspects.containsKey(n.name());
     }
 }
