--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -3,12 +3,14 @@
 import garnetscale.core.Params;
 import garnetscale.core.bid.Auction;
 import garnetscale.core.bid.BidSheet;
+import garnetscale.core.bid.Estimator;
 import garnetscale.core.block.BlockLease;
 import garnetscale.core.block.Blocks;
 import garnetscale.core.block.LeaderInfo;
 import garnetscale.core.block.NodeInfo;
 import garnetscale.core.block.Observation;
 import garnetscale.core.block.Terms;
+import garnetscale.core.line.Line;
 import garnetscale.core.line.LineOrder;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.Placement;
@@ -44,6 +46,7 @@
     private final Blocks blocks;
     private final Auction auction;
     private final LineOrder order;
+    private final Estimator estimator = new Estimator();
     private final Reserve reserve;
     private final Consumer<String> log;
     private final Map<String, MachineState> machines = new TreeMap<>();
@@ -200,8 +203,7 @@
             return;
         }
         MachineState m = machines.computeIfAbsent(o.machine(), MachineState::new);
-        m.last = o;
-        m.seen = now;
+        m.observe(now, o);
         for (ReportedTask t : o.tasks()) {
             if (t.exited()) {
                 exits.put(t.attempt(), new Exit(o.machine(), o.block(), o.term(), t));
@@ -233,8 +235,12 @@
         Draft draft = new Draft(mirror, QuotaBook.of(params, mirror), params.txnOps());
         settle(now, draft);
         int perMachine = Math.max(8, params.valueBytes() / 64);
+        int before = sequence;
         new Awards(mirror, auction, machines, perMachine, order, reserve).award(now, now + wallOffset, draft,
             job -> failures.mayStart(now, job.spec().id()), () -> Terms.attempt(acting.term(), ++sequence));
+        if (sequence == before) {
+            preempt(now, draft);
+        }
         for (JobView job : mirror.jobs()) {
             if (!job.live() && job.placedCount() == 0 && draft.hasRoomFor("", 10)) {
                 draft.archiveCancelled(job);
@@ -243,6 +249,22 @@
         return draft.isEmpty() ? null : draft.toTxn();
     }
 
+    /** Only when nothing could be awarded: a stop is for those who find no room. */
+    private void preempt(long now, Draft draft) {
+        Preemption preemption = new Preemption(mirror, machines, estimator);
+        for (JobView job : Line.sort(mirror.jobs(), order, now + wallOffset)) {
+            if (!reserve.isTight(job) || !auction.closed(now, job) && !auction.bids(job.spec().id()).isEmpty()
+                || !failures.mayStart(now, job.spec().id()) || !draft.quota().allows(job.spec())) {
+                continue;
+            }
+            int stopped = preemption.makeRoom(now, draft, job, job.unstarted());
+            if (stopped > 0) {
+                log.accept("stops " + stopped + " less urgent tasks for job " + job.spec().id() + " of team "
+                    + job.spec().team());
+            }
+        }
+    }
+
     /** Milliseconds until planning again may lead to something without any news, or -1. */
     public long nextPlan(long now) {
         return auction.nextClose(now);
--- a/src/main/java/garnetscale/core/lead/Reserve.java
+++ b/src/main/java/garnetscale/core/lead/Reserve.java
@@ -64,6 +64,11 @@
         return Math.min(MOST * fleet, sum);
     }
 
+    /** Whether the job's class must start at once. */
+    boolean isTight(JobView job) {
+        return tight.containsKey(job.spec().jobClass());
+    }
+
     /** Whether the job has to leave the reserve alone. */
     boolean binds(JobView job, long wallMs) {
         JobSpec s = job.spec();
