--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -436,6 +436,7 @@
 
     /** Holders learn where their machines are, so that they can take over from a dead one at once. */
     private void onListed() {
+        fleet.vanished(now(), leader.machines()).forEach(leader::onMachineVanished);
         List<Address> book = fleet.book();
         if (!book.equals(lastBook)) {
             lastBook = book;
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -24,7 +24,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -294,9 +293,6 @@
             JobView job = mirror.job(t.task().job());
             if (t.state() == TaskState.RUNNING) {
                 m.runningSince.putIfAbsent(t.attempt(), now);
-                if (job != null) {
-                    m.images.put(job.spec().image(), job.spec().imageGb());
-                }
             } else if (t.exited() && t.cause() == ExitCause.DONE) {
                 Long since = m.runningSince.remove(t.attempt());
                 if (since != null && job != null) {
@@ -311,23 +307,6 @@
         if (m.oursAt < 0 && r.token() >= Terms.firstToken(Terms.blockTermOf(m.token))) {
             m.oursAt = now;
         }
-        trimImages(m);
-    }
-
-    private void trimImages(MachineView m) {
-        MachineType type = mirror.type(m.last.type());
-        if (type == null) {
-            return;
-        }
-        double sum = 0;
-        for (double gb : m.images.values()) {
-            sum += gb;
-        }
-        Iterator<Double> oldest = m.images.values().iterator();
-        while (sum > type.cacheGb() && oldest.hasNext()) {
-            sum -= oldest.next();
-            oldest.remove();
-        }
     }
 
     /**
@@ -429,7 +408,7 @@
         machines.values().removeIf(m -> m.last == null && mirror.placements(m.id).isEmpty()
             && !book.containsKey(m.id));
         for (String id : mirror.placedMachines()) {
-            if (!machines.containsKey(id)) {
+            if (!machines.containsKey(id) && !mirror.placements(id).isEmpty()) {
                 String block = blocks.blockOf(id, mirror.placedZone(id));
                 Held mine = held.get(block);
                 if (mine != null) {
@@ -461,7 +440,6 @@
             }
         } else if (m.lapsedShift < shift) {
             m.lapsedShift = shift;
-            m.images.clear();
         }
     }
 
@@ -570,7 +548,7 @@
             JobSpec spec = job.spec();
             int slots = Math.min(room.slots(spec), job.unstarted());
             if (slots > 0 && scarcity.mayTake(job, type, wallMs(now))) {
-                double fetch = m.images.containsKey(spec.image()) ? 0 : Estimator.fetchS(spec, type);
+                double fetch = mirror.images(m.id).containsKey(spec.image()) ? 0 : Estimator.fetchS(spec, type);
                 double finish = fetch + estimator.runS(spec, m.id);
                 // Tenths of a second, so that a sheet changes only when something has.
                 bids.add(new Bid(m.id, r.shift(), spec.id(), slots, Math.round(finish * 10) / 10.0));
--- a/src/main/java/garnetscale/core/block/MachineView.java
+++ b/src/main/java/garnetscale/core/block/MachineView.java
@@ -3,7 +3,6 @@
 import garnetscale.core.machine.Report;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
@@ -36,8 +35,6 @@
     final Set<Long> gone = new HashSet<>();
     /** When each running attempt was first seen to run, for the estimates. */
     final Map<Long, Long> runningSince = new HashMap<>();
-    /** Images that were here, the latest last, with their sizes. */
-    final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
     /** When a direct stop was last sent for an attempt, so that it is not sent with every change. */
     final Map<Long, Long> stopsSent = new HashMap<>();
     int observedHash;
--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -57,6 +57,7 @@
     private final Map<String, Long> freshAt = new HashMap<>();
     private final Set<String> deleted = new HashSet<>();
     private final Map<Offer, Refusal> refusals = new HashMap<>();
+    private final Map<String, Long> goneSince = new HashMap<>();
     private final Map<String, Long> idleSince = new HashMap<>();
     private final Deque<CloudCall> urgent = new ArrayDeque<>();
     private List<MachineType> prices = List.of();
@@ -87,6 +88,7 @@
         freshAt.clear();
         deleted.clear();
         idleSince.clear();
+        goneSince.clear();
         urgent.clear();
         pages = new ArrayList<>();
         everListed = false;
@@ -138,6 +140,7 @@
             return;
         }
         everListed = true;
+        Set<String> before = new HashSet<>(listed.keySet());
         listed.clear();
         for (Listed m : pages) {
             if (!deleted.contains(m.id())) {
@@ -146,6 +149,9 @@
                 fresh.remove(m.id());
             }
         }
+        before.removeAll(listed.keySet());
+        before.forEach(id -> goneSince.putIfAbsent(id, now));
+        goneSince.keySet().removeAll(listed.keySet());
         fresh.keySet().removeIf(id -> now - freshAt.get(id) > 3 * params.listLagMs() + 60_000);
     }
 
@@ -160,6 +166,24 @@
         return list;
     }
 
+    /** Machines that left the list long ago: the cloud has taken them, and their worker would be long silent. */
+    public List<String> vanished(long now, Collection<Observation> reporting) {
+        Set<String> heard = new HashSet<>();
+        reporting.forEach(o -> {
+            if (!o.silent()) {
+                heard.add(o.machine());
+            }
+        });
+        List<String> ids = new ArrayList<>();
+        goneSince.forEach((id, since) -> {
+            if (!heard.contains(id) && now - since > 2 * params.fenceMs() + 10 * params.listLagMs()) {
+                ids.add(id);
+            }
+        });
+        ids.forEach(goneSince::remove);
+        return ids;
+    }
+
     /** Machines that the cloud lists as failed: nothing is on them. */
     public List<String> failed() {
         return listed.values().stream().filter(m -> m.state() == Listed.State.FAILED).map(Listed::id).toList();
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -82,7 +82,7 @@
                     }
                     Placement p = new Placement(new TaskId(job.spec().id(), next), attempts.getAsLong(), bid.shift(),
                         Placement.Stop.KEEP);
-                    draft.place(m.id, m.last.zone(), p, job.spec());
+                    draft.place(m.id, mirror.type(m.last.type()), m.last.zone(), p, job.spec());
                     room.take(job.spec());
                     free -= job.spec().cpus();
                     if (bound(job.spec())) {
--- a/src/main/java/garnetscale/core/lead/Draft.java
+++ b/src/main/java/garnetscale/core/lead/Draft.java
@@ -2,6 +2,7 @@
 
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.job.JobState;
+import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.quota.QuotaBook;
 import garnetscale.core.store.JobView;
@@ -13,6 +14,7 @@
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -30,6 +32,8 @@
     private final QuotaBook quota;
     private final Map<String, List<Placement>> machines = new LinkedHashMap<>();
     private final Map<String, String> zones = new HashMap<>();
+    private final Map<String, Map<String, Double>> images = new HashMap<>();
+    private final Set<String> forgotten = new HashSet<>();
     private final Map<String, BitSet> finished = new LinkedHashMap<>();
     private final Map<String, Set<Integer>> shards = new HashMap<>();
     private final Map<String, Set<Integer>> awarded = new HashMap<>();
@@ -64,6 +68,7 @@
         return machines.computeIfAbsent(machine, id -> {
             ops++;
             zones.put(id, zone);
+            images.put(id, new LinkedHashMap<>(mirror.images(id)));
             return new ArrayList<>(mirror.placements(id));
         });
     }
@@ -84,12 +89,35 @@
         }
     }
 
-    void place(String machine, String zone, Placement p, JobSpec job) {
+    void place(String machine, MachineType type, String zone, Placement p, JobSpec job) {
         edit(machine, zone).add(p);
+        keepImage(images.get(machine), type, job);
         quota.add(job, 1);
         awarded.computeIfAbsent(job.id(), k -> new HashSet<>()).add(p.task().index());
     }
 
+    /** A machine caches the images that it used last, as many as fit. */
+    private static void keepImage(Map<String, Double> kept, MachineType type, JobSpec job) {
+        kept.remove(job.image());
+        kept.put(job.image(), job.imageGb());
+        double sum = 0;
+        for (double gb : kept.values()) {
+            sum += gb;
+        }
+        Iterator<Double> oldest = kept.values().iterator();
+        while (sum > type.cacheGb() && oldest.hasNext()) {
+            sum -= oldest.next();
+            oldest.remove();
+        }
+    }
+
+    /** The machine is gone for good, and so is its record once it has no placements. */
+    void forget(String machine) {
+        if (edit(machine, mirror.placedZone(machine)).isEmpty()) {
+            forgotten.add(machine);
+        }
+    }
+
     /** Records a task as finished; the last one ends its job. */
     void finish(JobView job, int task) {
         String id = job.spec().id();
@@ -128,10 +156,10 @@
         machines.forEach((id, list) -> {
             String key = Keys.placed(id);
             txn.guard(key, mirror.stamp(key));
-            if (list.isEmpty()) {
+            if (list.isEmpty() && forgotten.contains(id)) {
                 txn.delete(key);
             } else {
-                txn.put(key, Records.placements(zones.get(id), list));
+                txn.put(key, Records.machine(zones.get(id), list, images.get(id)));
             }
         });
         finished.forEach((id, set) -> {
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -137,7 +137,7 @@
     public Txn resignation(long now) {
         long patience = 2 * params.nodeTtlMs() + 4 * params.reportMs();
         boolean deaf = machines.values().stream().allMatch(m -> m.last.silent());
-        if (!deaf || machines.isEmpty() && mirror.placedMachines().isEmpty() || mirror.nodes().size() < 2
+        if (!deaf || machines.isEmpty() || mirror.nodes().size() < 2
             || now - actingSince < patience || now < notBefore) {
             return null;
         }
@@ -223,6 +223,13 @@
         machines.remove(machine);
     }
 
+    /** A machine left the cloud's list long ago. Lists are late, so this frees nothing: it only ends an empty record. */
+    public void onMachineVanished(String machine) {
+        if (mirror.placements(machine).isEmpty()) {
+            onMachineDead(machine);
+        }
+    }
+
     /** The next transaction, or null when there is nothing to change. */
     public Txn plan(long now) {
         if (!leads(now)) {
@@ -298,6 +305,9 @@
                     log.accept("task " + p.task() + " is gone from " + machine);
                 }
             }
+            if (dead.contains(machine) && draft.placements(machine).isEmpty() && draft.hasRoomFor(machine, 0)) {
+                draft.forget(machine);
+            }
         }
         exits.keySet().retainAll(open);
         gone.keySet().retainAll(open);
--- a/src/main/java/garnetscale/core/store/Mirror.java
+++ b/src/main/java/garnetscale/core/store/Mirror.java
@@ -24,6 +24,7 @@
     private final Map<String, JobView> jobs = new LinkedHashMap<>();
     private final Map<String, List<Placement>> placements = new TreeMap<>();
     private final Map<String, String> placedZones = new HashMap<>();
+    private final Map<String, Map<String, Double>> images = new HashMap<>();
     private final Map<String, BlockLease> blocks = new HashMap<>();
     private final Map<String, NodeInfo> nodes = new TreeMap<>();
     private final Map<String, Long> stamps = new HashMap<>();
@@ -58,11 +59,17 @@
         return placements.getOrDefault(machine, List.of());
     }
 
-    /** The zone of a machine that has placements. */
+    /** Images that were brought to a machine, with their sizes, the latest used last. */
+    public Map<String, Double> images(String machine) {
+        return images.getOrDefault(machine, Map.of());
+    }
+
+    /** The zone of a machine that has a record. */
     public String placedZone(String machine) {
         return placedZones.get(machine);
     }
 
+    /** Machines that have a record, with or without placements. */
     public Set<String> placedMachines() {
         return placements.keySet();
     }
@@ -114,6 +121,7 @@
         jobs.clear();
         placements.clear();
         placedZones.clear();
+        images.clear();
         blocks.clear();
         nodes.clear();
         stamps.clear();
@@ -211,11 +219,13 @@
         if (value == null) {
             placements.remove(machine);
             placedZones.remove(machine);
+            images.remove(machine);
             return;
         }
         List<Placement> list = Records.placements(value);
         placements.put(machine, list);
         placedZones.put(machine, Records.zone(value));
+        images.put(machine, Records.images(value));
         list.forEach(p -> mark(p, true));
     }
 
--- a/src/main/java/garnetscale/core/store/Records.java
+++ b/src/main/java/garnetscale/core/store/Records.java
@@ -87,19 +87,32 @@
         return BitSet.valueOf(Base64.getDecoder().decode(text((Map<?, ?>) value, "b")));
     }
 
-    /** The zone is kept so that whoever takes over a block finds machines in it that no longer report. */
-    public static Map<String, Object> placements(String zone, List<Placement> list) {
+    /**
+     * What is kept of a machine: its zone, so that whoever takes over a block finds machines in it that no longer
+     * report; its placements; and its images, so that no restart has to learn anew where they are.
+     */
+    public static Map<String, Object> machine(String zone, List<Placement> list, Map<String, Double> images) {
         List<Object> rows = new ArrayList<>(list.size());
         for (Placement p : list) {
             rows.add(List.of(p.task().toString(), p.attempt(), p.shift(), p.stop().ordinal()));
         }
-        return Map.of("z", zone, "p", rows);
+        List<Object> kept = new ArrayList<>(images.size());
+        images.forEach((name, gb) -> kept.add(List.of(name, gb)));
+        return Map.of("z", zone, "p", rows, "i", kept);
     }
 
     static String zone(Object value) {
         return text((Map<?, ?>) value, "z");
     }
 
+    static Map<String, Double> images(Object value) {
+        Map<String, Double> images = new LinkedHashMap<>();
+        for (Object o : (List<?>) ((Map<?, ?>) value).get("i")) {
+            images.put((String) ((List<?>) o).get(0), num((List<?>) o, 1));
+        }
+        return images;
+    }
+
     static List<Placement> placements(Object value) {
         List<Placement> list = new ArrayList<>();
         for (Object o : (List<?>) ((Map<?, ?>) value).get("p")) {
