--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -10,7 +10,6 @@
 import garnetscale.core.fleet.Fleet;
 import garnetscale.core.lead.Leader;
 import garnetscale.core.lead.Pipeline;
-import garnetscale.core.machine.Address;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Report;
 import garnetscale.core.store.JobView;
@@ -58,7 +57,6 @@
     private final Settings settings;
     private final EventLoopGroup loop;
     private final Mirror mirror = new Mirror();
-    private final Estimator estimator = new Estimator();
     private final Holder holder;
     private final Leader leader;
     private final Pipeline pipeline;
@@ -76,14 +74,14 @@
     private long planAgainAt = -1;
     private List<MachineType> types = List.of();
     private long lease = -1;
-    private List<Address> lastBook = List.of();
+    private PeerMessage.Book lastBook;
 
     Node(Settings settings) {
         this.settings = settings;
         this.params = settings.params();
         this.loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
         Blocks blocks = new Blocks(params);
-        this.holder = new Holder(params, mirror, blocks, estimator);
+        this.holder = new Holder(params, mirror, blocks, new Estimator(params.reportMs()));
         this.leader = new Leader(params, mirror, blocks, LOG::info);
         this.pipeline = new Pipeline(mirror, leader);
         this.fleet = new Fleet(params, mirror, LOG::info);
@@ -216,7 +214,7 @@
     private void onLink(String node) {
         leader.suspect(now(), node, false);
         if (leader.leadingTerm() >= 0) {
-            peers.send(node, new PeerMessage.Book(fleet.book()));
+            peers.send(node, new PeerMessage.Book(fleet.book(), leader.lateJobs()));
         }
         peers.send(node, heartbeat());
         LeaderInfo l = mirror.leader();
@@ -250,7 +248,7 @@
                 queueWork();
             }
         } else if (m instanceof PeerMessage.Book b) {
-            holder.onBook(b.machines());
+            holder.onBook(b.machines(), b.lateJobs());
             queueWork();
         } else if (m instanceof PeerMessage.Seen s) {
             leader.onObservation(now(), s.observation());
@@ -362,13 +360,13 @@
             LOG.info("this node leads under term {}", ledTerm);
             pipeline.restart();
             fleet.start(now, ledTerm);
-            lastBook = List.of();
+            lastBook = null;
             beat();
             holder.retell(now);
             holder.drain().forEach(this::carryOut);
         }
         if (state.ageMs() < 3000 && cloud.ready(now)) {
-            CloudCall call = fleet.next(now, leader.machines());
+            CloudCall call = fleet.next(now, leader.machines(), leader.condemned());
             if (call != null) {
                 cloud.call(now, call);
             }
@@ -437,11 +435,11 @@
     /** Holders learn where their machines are, so that they can take over from a dead one at once. */
     private void onListed() {
         fleet.vanished(now(), leader.machines()).forEach(leader::onMachineVanished);
-        List<Address> book = fleet.book();
+        PeerMessage.Book book = new PeerMessage.Book(fleet.book(), leader.lateJobs());
         if (!book.equals(lastBook)) {
             lastBook = book;
-            holder.onBook(book);
-            peers.sendAll(new PeerMessage.Book(book));
+            holder.onBook(book.machines(), book.lateJobs());
+            peers.sendAll(book);
             queueWork();
         }
     }
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -85,6 +85,8 @@
     private final Map<String, MachineView> machines = new TreeMap<>();
     private final List<Effect> effects = new ArrayList<>();
     private final Map<String, Address> book = new TreeMap<>();
+    /** Started jobs that the leader takes late bids for. */
+    private final Set<String> late = new HashSet<>();
     private long incarnation = -1;
     private long confirmedAt = Long.MIN_VALUE / 2;
     private BidSheet lastSheet;
@@ -237,7 +239,9 @@
     }
 
     /** The leader's list of machines and their addresses. */
-    public void onBook(List<Address> list) {
+    public void onBook(List<Address> list, List<String> lateJobs) {
+        late.clear();
+        late.addAll(lateJobs);
         book.clear();
         list.forEach(a -> book.put(a.machine(), a));
     }
@@ -388,13 +392,15 @@
             Held mine = held.get(m.block);
             lapse(now, m, mine);
             if (m.last != null && m.last.shift() > m.lapsedShift) {
+                List<Estimator.UnderWay> running = new ArrayList<>();
                 for (Map.Entry<Long, Long> e : m.runningSince.entrySet()) {
                     ReportedTask t = m.last.find(e.getKey());
                     JobView job = t == null ? null : mirror.job(t.task().job());
-                    if (job != null) {
-                        estimator.stillRunning(job.spec(), m.id, (now - e.getValue()) / 1000.0);
+                    if (job != null && !t.exited()) {
+                        running.add(new Estimator.UnderWay(job.spec(), (now - e.getValue()) / 1000.0));
                     }
                 }
+                estimator.judge(m.id, running);
                 command(now, m, mine);
             }
             proveGone(m, mine);
@@ -506,6 +512,13 @@
         }
         List<Bid> bids = new ArrayList<>();
         List<JobView> waiting = Line.sort(mirror.jobs(), order, wallMs(now));
+        for (String id : late) {
+            JobView job = mirror.job(id);
+            if (job != null && job.live() && job.unstarted() == 0) {
+                // Behind all that waits: a late bid is only for room that nobody else has a use for.
+                waiting.add(job);
+            }
+        }
         if (!waiting.isEmpty()) {
             QuotaBook quota = QuotaBook.of(params, mirror);
             waiting.removeIf(j -> !quota.allows(j.spec()));
@@ -546,7 +559,7 @@
         int heads = 0;
         for (JobView job : new Line(waiting, type, r.zone(), r.spot()).jobs()) {
             JobSpec spec = job.spec();
-            int slots = Math.min(room.slots(spec), job.unstarted());
+            int slots = Math.min(room.slots(spec), job.unstarted() == 0 ? job.placedCount() : job.unstarted());
             if (slots > 0 && scarcity.mayTake(job, type, wallMs(now))) {
                 double fetch = mirror.images(m.id).containsKey(spec.image()) ? 0 : Estimator.fetchS(spec, type);
                 double finish = fetch + estimator.runS(spec, m.id);
--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -105,8 +105,8 @@
         return Math.round(1200 / params.cloudRps());
     }
 
-    /** The next call to make, or null. */
-    public CloudCall next(long now, Collection<Observation> reporting) {
+    /** The next call to make, or null; {@code condemned} are empty machines that are of no use. */
+    public CloudCall next(long now, Collection<Observation> reporting, List<String> condemned) {
         if (!urgent.isEmpty()) {
             return urgent.poll();
         }
@@ -124,6 +124,9 @@
         }
         Map<String, Observation> known = new HashMap<>();
         reporting.forEach(o -> known.put(o.machine(), o));
+        if (!condemned.isEmpty()) {
+            return new CloudCall.Delete(condemned.subList(0, Math.min(condemned.size(), DELETE_AT_ONCE)));
+        }
         CloudCall delete = delete(now, known);
         return delete != null ? delete : rent(now, known);
     }
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -98,7 +98,7 @@
 
     private boolean usable(long now, MachineState m, Bid bid) {
         return m != null && m.last != null && !m.last.silent() && m.last.noticeS() == null
-            && m.last.shift() == bid.shift() && now >= m.avoidUntil && mirror.type(m.last.type()) != null
+            && m.last.shift() == bid.shift() && now >= m.avoidUntil && !m.condemned && mirror.type(m.last.type()) != null
             && auction.speaksFor(m.last.block());
     }
 
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -2,8 +2,10 @@
 
 import garnetscale.core.Params;
 import garnetscale.core.bid.Auction;
+import garnetscale.core.bid.Bid;
 import garnetscale.core.bid.BidSheet;
 import garnetscale.core.bid.Estimator;
+import garnetscale.core.bid.LateBids;
 import garnetscale.core.block.BlockLease;
 import garnetscale.core.block.Blocks;
 import garnetscale.core.block.LeaderInfo;
@@ -38,6 +40,11 @@
  */
 public final class Leader {
 
+    /** A machine this many times slower than its peers is given back. */
+    private static final double SLOW = 2.2;
+    /** Failures in a row, over several jobs, after which a machine is given back. */
+    private static final int SICK = 4;
+
     private record Exit(String machine, String block, long term, ReportedTask task) {
     }
 
@@ -45,8 +52,9 @@
     private final Mirror mirror;
     private final Blocks blocks;
     private final Auction auction;
+    private Set<String> lateJobs = Set.of();
     private final LineOrder order;
-    private final Estimator estimator = new Estimator();
+    private final Estimator estimator;
     private final Reserve reserve;
     private final Consumer<String> log;
     private final Map<String, MachineState> machines = new TreeMap<>();
@@ -77,6 +85,7 @@
         this.blocks = blocks;
         this.log = log;
         this.order = new LineOrder(params);
+        this.estimator = new Estimator(params.reportMs());
         this.reserve = new Reserve(params);
         this.auction = new Auction(mirror, params.windowMs());
     }
@@ -203,7 +212,7 @@
             return;
         }
         MachineState m = machines.computeIfAbsent(o.machine(), MachineState::new);
-        m.observe(now, o);
+        m.observe(now, o, mirror, estimator);
         for (ReportedTask t : o.tasks()) {
             if (t.exited()) {
                 exits.put(t.attempt(), new Exit(o.machine(), o.block(), o.term(), t));
@@ -245,8 +254,10 @@
         int before = sequence;
         new Awards(mirror, auction, machines, perMachine, order, reserve).award(now, now + wallOffset, draft,
             job -> failures.mayStart(now, job.spec().id()), () -> Terms.attempt(acting.term(), ++sequence));
+        judgeSpeed(now);
         if (sequence == before) {
             preempt(now, draft);
+            restartLate(now, draft);
         }
         for (JobView job : mirror.jobs()) {
             if (!job.live() && job.placedCount() == 0 && draft.hasRoomFor("", 10)) {
@@ -256,6 +267,81 @@
         return draft.isEmpty() ? null : draft.toTxn();
     }
 
+    /** Finds the machines that are slow, and the jobs with tasks on them. */
+    private void judgeSpeed(long now) {
+        Set<String> jobs = new HashSet<>();
+        for (MachineState m : machines.values()) {
+            List<Estimator.UnderWay> running = new ArrayList<>();
+            for (Placement p : mirror.placements(m.id)) {
+                Long since = m.runningSince.get(p.attempt());
+                JobView job = mirror.job(p.task().job());
+                if (since != null && job != null && job.live()) {
+                    running.add(new Estimator.UnderWay(job.spec(), (now - since) / 1000.0));
+                }
+            }
+            estimator.judge(m.id, running);
+            if (estimator.machineFactor(m.id) > SLOW) {
+                running.forEach(t -> jobs.add(t.job().id()));
+                condemn(m, "is slow, about " + Math.round(10 * estimator.machineFactor(m.id)) / 10.0 + " times");
+            }
+        }
+        lateJobs = jobs;
+    }
+
+    /** Takes a machine out of service, unless that would be one of too many: then it is rather something else. */
+    private void condemn(MachineState m, String why) {
+        long out = machines.values().stream().filter(o -> o.condemned).count();
+        if (!m.condemned && out < Math.max(1, machines.size() / 8)) {
+            m.condemned = true;
+            log.accept("machine " + m.id + " " + why + ", and is given back");
+        }
+    }
+
+    /** Restarts tasks of slow machines for which a late bid is much better; the stop must be confirmed first. */
+    private void restartLate(long now, Draft draft) {
+        for (MachineState m : machines.values()) {
+            if (!m.condemned || m.last.silent()) {
+                continue;
+            }
+            for (Placement p : mirror.placements(m.id)) {
+                Long since = m.runningSince.get(p.attempt());
+                JobView job = mirror.job(p.task().job());
+                if (since == null || job == null || !job.live() || p.stop() != Placement.Stop.KEEP) {
+                    continue;
+                }
+                double earlier = estimator.remainingS(job.spec(), m.id, (now - since) / 1000.0);
+                for (Bid b : auction.bids(job.spec().id())) {
+                    MachineState other = machines.get(b.machine());
+                    if (other == null || other.condemned || now < other.avoidUntil) {
+                        continue;
+                    }
+                    if (LateBids.accepts(earlier, b.finishS()) && draft.hasRoomFor(m.id, 0)) {
+                        draft.stop(m.id, p, job.spec().savesProgress() ? Placement.Stop.SAVE : Placement.Stop.NOW);
+                        log.accept("task " + p.task() + " is stopped on " + m.id + ": a late bid of " + b.machine()
+                            + " is better by " + Math.round(100 * LateBids.improvement(earlier, b.finishS())) + "%");
+                    }
+                    break;
+                }
+            }
+        }
+    }
+
+    /** Started jobs for which late bids are wanted. */
+    public List<String> lateJobs() {
+        return List.copyOf(lateJobs);
+    }
+
+    /** Machines to be given back, with nothing on them any more. */
+    public List<String> condemned() {
+        List<String> ids = new ArrayList<>();
+        for (MachineState m : machines.values()) {
+            if (m.condemned && mirror.placements(m.id).isEmpty()) {
+                ids.add(m.id);
+            }
+        }
+        return ids;
+    }
+
     /** Only when nothing could be awarded: a stop is for those who find no room. */
     private void preempt(long now, Draft draft) {
         Preemption preemption = new Preemption(mirror, machines, estimator);
@@ -340,6 +426,9 @@
                 if (!jobsFault) {
                     m.failures++;
                     m.avoidUntil = now + Math.min(32, 1L << m.failures) * params.reportMs();
+                    if (m.failures >= SICK) {
+                        condemn(m, "fails its tasks");
+                    }
                 }
             }
             case NO_ROOM, BUSY, OTHER -> m.avoidUntil = Math.max(m.avoidUntil, now + params.reportMs());
--- a/src/main/java/garnetscale/core/lead/MachineState.java
+++ b/src/main/java/garnetscale/core/lead/MachineState.java
@@ -1,8 +1,12 @@
 package garnetscale.core.lead;
 
+import garnetscale.core.bid.Estimator;
 import garnetscale.core.block.Observation;
+import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.ReportedTask;
 import garnetscale.core.machine.TaskState;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.Mirror;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -20,12 +24,15 @@
     long avoidUntil = Long.MIN_VALUE;
     /** Failures in a row, without a completed task between them. */
     int failures;
+    /** To be given back as soon as nothing is on it: it fails or is slow. */
+    boolean condemned;
 
     MachineState(String id) {
         this.id = id;
     }
 
-    void observe(long now, Observation o) {
+    /** Takes a new observation; tells the estimator of tasks that completed. */
+    void observe(long now, Observation o, Mirror mirror, Estimator estimator) {
         last = o;
         seen = now;
         Set<Long> present = new HashSet<>();
@@ -33,6 +40,12 @@
             present.add(t.attempt());
             if (t.state() == TaskState.RUNNING) {
                 runningSince.putIfAbsent(t.attempt(), now);
+            } else if (t.cause() == ExitCause.DONE) {
+                Long since = runningSince.remove(t.attempt());
+                JobView job = mirror.job(t.task().job());
+                if (since != null && job != null) {
+                    estimator.completed(job.spec(), id, (now - since) / 1000.0);
+                }
             }
         }
         runningSince.keySet().retainAll(present);
--- a/src/main/java/garnetscale/core/lead/Preemption.java
+++ b/src/main/java/garnetscale/core/lead/Preemption.java
@@ -44,7 +44,7 @@
         int coming = 0;
         for (MachineState m : machines.values()) {
             MachineType type = m.last == null ? null : mirror.type(m.last.type());
-            if (type == null || m.last.silent() || m.last.noticeS() != null || now < m.avoidUntil || !type.fits(spec)
+            if (type == null || m.last.silent() || m.last.noticeS() != null || now < m.avoidUntil || m.condemned || !type.fits(spec)
                 || !spec.allowsZone(m.last.zone()) || m.last.spot() && !spec.spot()) {
                 continue;
             }
--- a/src/main/java/garnetscale/peer/PeerCodec.java
+++ b/src/main/java/garnetscale/peer/PeerCodec.java
@@ -57,7 +57,7 @@
         } else if (message instanceof PeerMessage.Book b) {
             List<GenericRecord> rows = new ArrayList<>();
             b.machines().forEach(a -> rows.add(record("Address", a.machine(), a.address(), a.zone())));
-            r = record("Book", rows);
+            r = record("Book", rows, b.lateJobs());
         } else if (message instanceof PeerMessage.Bids b) {
             r = bids(b.sheet());
         } else {
@@ -108,7 +108,7 @@
             return switch (r.getSchema().getName()) {
                 case "Heartbeat" -> new PeerMessage.Heartbeat(text(r, "node"), whole(r, "incarnation"),
                     whole(r, "leaderTerm"), whole(r, "stateAgeMs"));
-                case "Book" -> new PeerMessage.Book(book(r));
+                case "Book" -> new PeerMessage.Book(book(r), texts((List<?>) r.get("late")));
                 case "Observation" -> new PeerMessage.Seen(observation(r));
                 case "BidSheet" -> new PeerMessage.Bids(sheet(r));
                 default -> throw new IOException("not a message: " + r.getSchema().getName());
@@ -127,6 +127,10 @@
         return List.copyOf(list);
     }
 
+    private static List<String> texts(List<?> list) {
+        return list.stream().map(Object::toString).toList();
+    }
+
     private static Observation observation(GenericRecord r) {
         List<ReportedTask> tasks = new ArrayList<>();
         for (Object o : (List<?>) r.get("tasks")) {
--- a/src/main/java/garnetscale/peer/PeerMessage.java
+++ b/src/main/java/garnetscale/peer/PeerMessage.java
@@ -17,8 +17,8 @@
     record Heartbeat(String node, long incarnation, long leaderTerm, long stateAgeMs) implements PeerMessage {
     }
 
-    /** The leader's list of machines. */
-    record Book(List<Address> machines) implements PeerMessage {
+    /** The leader's list of machines, and the started jobs that it takes late bids for. */
+    record Book(List<Address> machines, List<String> lateJobs) implements PeerMessage {
     }
 
     record Seen(Observation observation) implements PeerMessage {
--- a/src/test/java/garnetscale/core/sim/World.java
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -273,7 +273,7 @@
             mirror = new Mirror();
             Params p = params(name);
             Blocks blocks = new Blocks(p);
-            holder = new Holder(p, mirror, blocks, new Estimator());
+            holder = new Holder(p, mirror, blocks, new Estimator(REPORT));
             leader = new Leader(p, mirror, blocks, s -> { });
             pipeline = new Pipeline(mirror, leader);
             lease = -1;
@@ -287,7 +287,7 @@
                 if (leader.leadingTerm() >= 0) {
                     List<Address> book = workers.stream()
                         .map(w -> new Address(w.id, w.id, w.model.report().zone())).toList();
-                    peers(n -> n.holder.onBook(book));
+                    peers(n -> n.holder.onBook(book, leader.lateJobs()));
                 }
             });
         }
