--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -45,6 +45,9 @@
     /** Failures in a row, over several jobs, after which a machine is given back. */
     private static final int SICK = 4;
 
+    /** Estimates are rough: a task is given up for lost only when it would need this many times what is left. */
+    private static final double SURELY = 1.3;
+
     private record Exit(String machine, String block, long term, ReportedTask task) {
     }
 
@@ -255,6 +258,7 @@
         new Awards(mirror, auction, machines, perMachine, order, reserve).award(now, now + wallOffset, draft,
             job -> failures.mayStart(now, job.spec().id()), () -> Terms.attempt(acting.term(), ++sequence));
         judgeSpeed(now);
+        drain(now, draft);
         if (sequence == before) {
             preempt(now, draft);
             restartLate(now, draft);
@@ -297,6 +301,35 @@
         }
     }
 
+    /**
+     * Moves work off machines that the cloud takes away: what can save does so while there is time, what would not
+     * be finished starts again elsewhere at once, and what will be finished is left to.
+     */
+    private void drain(long now, Draft draft) {
+        for (MachineState m : machines.values()) {
+            if (m.last.noticeS() == null || m.last.silent()) {
+                continue;
+            }
+            double left = m.last.noticeS() - (now - m.seen) / 1000.0;
+            for (Placement p : mirror.placements(m.id)) {
+                JobView job = mirror.job(p.task().job());
+                if (job == null || !job.live() || p.stop() != Placement.Stop.KEEP || !draft.hasRoomFor(m.id, 0)) {
+                    continue;
+                }
+                Long since = m.runningSince.get(p.attempt());
+                double remaining = since == null ? estimator.runS(job.spec(), m.id)
+                    : estimator.remainingS(job.spec(), m.id, (now - since) / 1000.0);
+                double saving = job.spec().saveS() * 1.5 + 1 + params.reportMs() / 1000.0;
+                if (remaining > left * SURELY && (!job.spec().savesProgress() || left < 2 * saving)) {
+                    draft.stop(m.id, p, job.spec().savesProgress() && left > job.spec().saveS()
+                        ? Placement.Stop.SAVE : Placement.Stop.NOW);
+                    log.accept("task " + p.task() + " is stopped on " + m.id + ", which is taken in "
+                        + Math.round(left) + " s");
+                }
+            }
+        }
+    }
+
     /** Restarts tasks of slow machines for which a late bid is much better; the stop must be confirmed first. */
     private void restartLate(long now, Draft draft) {
         for (MachineState m : machines.values()) {
