--- a/src/main/java/garnetscale/app/Front.java
+++ b/src/main/java/garnetscale/app/Front.java
@@ -133,7 +133,7 @@
             waiting--;
             switch (result) {
                 case OK -> {
-                    LOG.debug("job {} accepted: {} tasks, team {}", id, accepted.tasks(), accepted.team());
+                    LOG.debug("job {} accepted: {} tasks, team {}, class {}", id, accepted.tasks(), accepted.team(), accepted.jobClass());
                     answer.accept(Reply.of(201, UserCodec.answer(
                         new UserCodec.Answer(id, "pending", 0, 0, accepted.team(), null))));
                 }
--- a/src/main/java/garnetscale/core/bid/Estimator.java
+++ b/src/main/java/garnetscale/core/bid/Estimator.java
@@ -26,6 +26,8 @@
     /** Tasks' worth of evidence before a machine is judged. */
     private static final double ENOUGH = 4;
     private static final int JOBS = 512;
+    /** How long a spot machine is reckoned to last, in seconds: pessimistic on quiet days, as waves come at once. */
+    private static final double TAKEN_S = 1800;
 
     /** A machine's account: seconds its tasks took, seconds expected of them, and how many they were. */
     private static final class Account {
@@ -102,6 +104,16 @@
         return Math.max(runS(job, machine) - ranS, ranS / 4);
     }
 
+    /**
+     * What a spot machine costs a task on average: the chance that it is taken meanwhile, times the work that is
+     * lost then. Small for short tasks and for those that save, and so enough to send long ones that don't save to
+     * ordinary machines while those have room.
+     */
+    public static double spotRiskS(JobSpec job, double runS) {
+        double lost = job.savesProgress() ? Math.min(runS, job.checkpointS()) : runS;
+        return runS / TAKEN_S * (lost / 2 + runS / 4);
+    }
+
     public static double fetchS(JobSpec job, MachineType type) {
         return type.fetchGbPerS() <= 0 ? 0 : job.imageGb() / type.fetchGbPerS();
     }
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -562,7 +562,8 @@
             int slots = Math.min(room.slots(spec), job.unstarted() == 0 ? job.placedCount() : job.unstarted());
             if (slots > 0 && scarcity.mayTake(job, type, wallMs(now))) {
                 double fetch = mirror.images(m.id).containsKey(spec.image()) ? 0 : Estimator.fetchS(spec, type);
-                double finish = fetch + estimator.runS(spec, m.id);
+                double run = estimator.runS(spec, m.id);
+                double finish = fetch + run + (r.spot() ? Estimator.spotRiskS(spec, run) : 0);
                 // Tenths of a second, so that a sheet changes only when something has.
                 bids.add(new Bid(m.id, r.shift(), spec.id(), slots, Math.round(finish * 10) / 10.0));
             }
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -11,6 +11,7 @@
 import garnetscale.core.machine.Room;
 import garnetscale.core.store.JobView;
 import garnetscale.core.store.Mirror;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,7 +63,7 @@
                 continue;
             }
             int next = job.nextUnstarted(0);
-            for (Bid bid : auction.bids(job.spec().id())) {
+            for (Bid bid : ranked(job)) {
                 if (next < 0 || !draft.quota().allows(job.spec())) {
                     break;
                 }
@@ -96,6 +97,17 @@
         return awarded;
     }
 
+    /**
+     * Bids by their finish, whole seconds alike, since estimates are no better than that. Among equals spot
+     * machines go first: what costs a task nothing there leaves ordinary ones to those that would lose by it.
+     */
+    private List<Bid> ranked(JobView job) {
+        List<Bid> bids = auction.bids(job.spec().id());
+        bids.sort(Comparator.comparingLong((Bid b) -> Math.round(b.finishS()))
+            .thenComparingInt(b -> machines.containsKey(b.machine()) && machines.get(b.machine()).last.spot() ? 0 : 1));
+        return bids;
+    }
+
     private boolean usable(long now, MachineState m, Bid bid) {
         return m != null && m.last != null && !m.last.silent() && m.last.noticeS() == null
             && m.last.shift() == bid.shift() && now >= m.avoidUntil && !m.condemned && mirror.type(m.last.type()) != null
