--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -12,6 +12,7 @@
 import garnetscale.core.block.NodeInfo;
 import garnetscale.core.block.Observation;
 import garnetscale.core.block.Terms;
+import garnetscale.core.job.TaskId;
 import garnetscale.core.line.Line;
 import garnetscale.core.line.LineOrder;
 import garnetscale.core.machine.ExitCause;
@@ -56,6 +57,8 @@
     private final Blocks blocks;
     private final Auction auction;
     private Set<String> lateJobs = Set.of();
+    /** Tasks that made room for others once. */
+    private final Set<TaskId> stoppedOnce = new HashSet<>();
     private final LineOrder order;
     private final Estimator estimator;
     private final Reserve reserve;
@@ -132,6 +135,7 @@
             dead.clear();
             nodeSince.clear();
             movedAt.clear();
+            stoppedOnce.clear();
             auction.clear();
             log.accept("leads under term " + term);
         }
@@ -377,7 +381,7 @@
 
     /** Only when nothing could be awarded: a stop is for those who find no room. */
     private void preempt(long now, Draft draft) {
-        Preemption preemption = new Preemption(mirror, machines, estimator);
+        Preemption preemption = new Preemption(mirror, machines, estimator, stoppedOnce);
         for (JobView job : Line.sort(mirror.jobs(), order, now + wallOffset)) {
             if (!reserve.isTight(job) || !auction.closed(now, job) && !auction.bids(job.spec().id()).isEmpty()
                 || !failures.mayStart(now, job.spec().id()) || !draft.quota().allows(job.spec())) {
@@ -428,6 +432,7 @@
                 draft.forget(machine);
             }
         }
+        stoppedOnce.removeIf(t -> mirror.job(t.job()) == null);
         exits.keySet().retainAll(open);
         gone.keySet().retainAll(open);
     }
--- a/src/main/java/garnetscale/core/lead/Preemption.java
+++ b/src/main/java/garnetscale/core/lead/Preemption.java
@@ -2,6 +2,7 @@
 
 import garnetscale.core.bid.Estimator;
 import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.machine.Room;
@@ -11,11 +12,13 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Stops less urgent tasks for jobs that must start at once and find no room. What loses least work goes first:
  * tasks that save, then young ones; a task that is past a fifth of its time is let finish. What is being stopped
- * already counts as room on its way, so that one need isn't answered twice.
+ * already counts as room on its way, so that one need isn't answered twice; and no task is stopped twice, or a full
+ * fleet would start and stop the same ones over and over.
  */
 final class Preemption {
 
@@ -30,8 +33,10 @@
     private final Mirror mirror;
     private final Map<String, MachineState> machines;
     private final Estimator estimator;
+    private final Set<TaskId> stoppedOnce;
 
-    Preemption(Mirror mirror, Map<String, MachineState> machines, Estimator estimator) {
+    Preemption(Mirror mirror, Map<String, MachineState> machines, Estimator estimator, Set<TaskId> stoppedOnce) {
+        this.stoppedOnce = stoppedOnce;
         this.mirror = mirror;
         this.machines = machines;
         this.estimator = estimator;
@@ -57,7 +62,7 @@
                 if (p.stop() == Placement.Stop.KEEP) {
                     room.take(other.spec());
                 }
-                if (p.stop() == Placement.Stop.KEEP && other.live()
+                if (p.stop() == Placement.Stop.KEEP && other.live() && !stoppedOnce.contains(p.task())
                     && other.spec().priority().compareTo(spec.priority()) > 0) {
                     double lost = lostS(now, m, p, other);
                     if (lost >= 0) {
@@ -75,6 +80,7 @@
                 break;
             }
             JobSpec s = v.job().spec();
+            stoppedOnce.add(v.placement().task());
             draft.stop(v.machine().id, v.placement(), s.savesProgress() ? Placement.Stop.SAVE : Placement.Stop.NOW);
             missing -= Math.max(1, (int) Math.floor(s.cpus() / Math.max(0.01, spec.cpus())));
             stopped++;
