--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -119,6 +119,11 @@
         });
     }
 
+    /** Ends all that the node does. */
+    void stop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
     // ---- requests
 
     private void onRequest(String method, String path, byte[] body, Consumer<Reply> answer) {
--- a/src/main/java/garnetscale/app/Rehearsal.java
+++ b/src/main/java/garnetscale/app/Rehearsal.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,7 @@
     @Option(names = "--seconds", defaultValue = "20", description = "Give up after so long (default ${DEFAULT-VALUE}).")
     int seconds;
 
+    private final List<Node> nodes = new ArrayList<>();
     private EventLoopGroup loop;
     private HttpClient http;
 
@@ -51,10 +53,14 @@
             for (int i = 0; i < 2; i++) {
                 Path file = dir.resolve("node-" + i + ".toml");
                 Files.writeString(file, settings(i, listen, back, state, cloud));
-                new Node(Settings.read(file)).start();
+                Node node = new Node(Settings.read(file));
+                nodes.add(node);
+                node.start();
             }
             return play(listen) ? 0 : 1;
         } finally {
+            nodes.forEach(Node::stop);
+            loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             try (var files = Files.list(dir)) {
                 for (Path f : files.toList()) {
                     Files.delete(f);
--- a/src/main/java/garnetscale/core/bid/Auction.java
+++ b/src/main/java/garnetscale/core/bid/Auction.java
@@ -1,5 +1,7 @@
 package garnetscale.core.bid;
 
+import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.ListMultimap;
 import garnetscale.core.block.BlockLease;
 import garnetscale.core.store.JobView;
 import garnetscale.core.store.Mirror;
@@ -19,7 +21,7 @@
     private final long windowMs;
     private final Map<String, BidSheet> sheets = new HashMap<>();
     private final Map<String, Long> openSince = new HashMap<>();
-    private Map<String, List<Bid>> byJob = new HashMap<>();
+    private final ListMultimap<String, Bid> byJob = ArrayListMultimap.create();
 
     public Auction(Mirror mirror, long windowMs) {
         this.mirror = mirror;
@@ -38,10 +40,10 @@
             return;
         }
         sheets.put(sheet.node(), sheet);
-        byJob = new HashMap<>();
+        byJob.clear();
         for (BidSheet s : sheets.values()) {
             for (Bid b : s.bids()) {
-                byJob.computeIfAbsent(b.job(), k -> new ArrayList<>()).add(b);
+                byJob.put(b.job(), b);
             }
         }
         for (String job : byJob.keySet()) {
@@ -83,7 +85,7 @@
 
     /** Bids for a job, the earliest finish first. */
     public List<Bid> bids(String job) {
-        List<Bid> list = new ArrayList<>(byJob.getOrDefault(job, List.of()));
+        List<Bid> list = new ArrayList<>(byJob.get(job));
         list.sort(Comparator.comparingDouble(Bid::finishS));
         return list;
     }
--- a/src/main/java/garnetscale/core/block/MachineView.java
+++ b/src/main/java/garnetscale/core/block/MachineView.java
@@ -2,9 +2,10 @@
 
 import garnetscale.core.machine.Report;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
+import org.agrona.collections.LongHashSet;
 
 /** What a holder knows of one machine, and what it has told it, within one block term. */
 final class MachineView {
@@ -28,11 +29,11 @@
     /** Sessions up to this one are known to have ended. */
     long lapsedShift = -1;
     /** Starts given in the answer to the newest report: the worker may have taken or dropped them. */
-    final Set<Long> startsInAnswer = new HashSet<>();
+    final LongHashSet startsInAnswer = new LongHashSet();
     /** The token under which an attempt's start was last sent directly; such a command may come late or twice. */
     final Map<Long, Long> directStarts = new HashMap<>();
     /** Attempts of placements that will never be started here, told to the leader until it has freed them. */
-    final Set<Long> gone = new HashSet<>();
+    final Set<Long> gone = new TreeSet<>();
     /** When each running attempt was first seen to run, for the estimates. */
     final Map<Long, Long> runningSince = new HashMap<>();
     /** When a direct stop was last sent for an attempt, so that it is not sent with every change. */
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -1,5 +1,7 @@
 package garnetscale.core.lead;
 
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import garnetscale.core.bid.Auction;
 import garnetscale.core.bid.Bid;
 import garnetscale.core.job.JobSpec;
@@ -32,7 +34,7 @@
     private final Reserve reserve;
     private final Map<String, Room> rooms = new HashMap<>();
     /** Tasks of a job by zone, for jobs that are bound by where their other tasks are. */
-    private final Map<String, Map<String, Integer>> zonesOfJob = new HashMap<>();
+    private final Map<String, Multiset<String>> zonesOfJob = new HashMap<>();
 
     Awards(Mirror mirror, Auction auction, Map<String, MachineState> machines, int perMachine,
            LineOrder order, Reserve reserve) {
@@ -87,7 +89,7 @@
                     room.take(job.spec());
                     free -= job.spec().cpus();
                     if (bound(job.spec())) {
-                        zones(draft, job).merge(m.last.zone(), 1, Integer::sum);
+                        zones(draft, job).add(m.last.zone());
                     }
                     awarded++;
                     next = job.nextUnstarted(next + 1);
@@ -138,21 +140,21 @@
         if (!bound(job.spec())) {
             return true;
         }
-        Map<String, Integer> zones = zones(draft, job);
-        int here = zones.getOrDefault(m.last.zone(), 0);
-        if (job.spec().oneZone() && zones.values().stream().mapToInt(Integer::intValue).sum() != here) {
+        Multiset<String> zones = zones(draft, job);
+        int here = zones.count(m.last.zone());
+        if (job.spec().oneZone() && zones.size() != here) {
             return false;
         }
         return !job.spec().spread() || here + 1 <= (job.spec().tasks() + 1) / 2;
     }
 
-    private Map<String, Integer> zones(Draft draft, JobView job) {
+    private Multiset<String> zones(Draft draft, JobView job) {
         return zonesOfJob.computeIfAbsent(job.spec().id(), id -> {
-            Map<String, Integer> count = new HashMap<>();
+            Multiset<String> count = HashMultiset.create();
             for (String machine : mirror.placedMachines()) {
                 for (Placement p : draft.placements(machine)) {
                     if (p.task().job().equals(id)) {
-                        count.merge(mirror.placedZone(machine), 1, Integer::sum);
+                        count.add(mirror.placedZone(machine));
                     }
                 }
             }
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -1,5 +1,7 @@
 package garnetscale.core.lead;
 
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import garnetscale.core.Params;
 import garnetscale.core.bid.Auction;
 import garnetscale.core.bid.Bid;
@@ -33,6 +35,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.agrona.collections.Long2ObjectHashMap;
+import org.agrona.collections.LongHashSet;
 
 /**
  * The leader: leases blocks, takes bids, keeps quotas and awards; the only writer of placements and finished
@@ -64,9 +68,9 @@
     private final Reserve reserve;
     private final Consumer<String> log;
     private final Map<String, MachineState> machines = new TreeMap<>();
-    private final Map<Long, Exit> exits = new HashMap<>();
+    private final Long2ObjectHashMap<Exit> exits = new Long2ObjectHashMap<>();
     /** Attempts that a holder calls gone, with the block term that it says so under. */
-    private final Map<Long, Exit> gone = new HashMap<>();
+    private final Long2ObjectHashMap<Exit> gone = new Long2ObjectHashMap<>();
     /** Machines that the cloud says are gone for good. */
     private final Set<String> dead = new HashSet<>();
     private final Map<String, Long> nodeSince = new HashMap<>();
@@ -402,7 +406,7 @@
 
     /** Frees what is proved to be over, and records what is done. */
     private void settle(long now, Draft draft) {
-        Set<Long> open = new HashSet<>();
+        LongHashSet open = new LongHashSet();
         for (String machine : List.copyOf(mirror.placedMachines())) {
             for (Placement p : mirror.placements(machine)) {
                 open.add(p.attempt());
@@ -433,8 +437,8 @@
             }
         }
         stoppedOnce.removeIf(t -> mirror.job(t.job()) == null);
-        exits.keySet().retainAll(open);
-        gone.keySet().retainAll(open);
+        exits.keySet().removeIf(a -> !open.contains(a));
+        gone.keySet().removeIf(a -> !open.contains(a));
     }
 
     private boolean isCurrent(Exit e) {
@@ -478,7 +482,7 @@
     private Txn leaseBlocks(long now) {
         nodeSince.keySet().removeIf(n -> mirror.nodes().stream().noneMatch(i -> key(i).equals(n)));
         mirror.nodes().forEach(n -> nodeSince.putIfAbsent(key(n), now));
-        Map<String, Integer> load = new HashMap<>();
+        Multiset<String> load = HashMultiset.create();
         Map<String, String> deafHolder = new HashMap<>();
         List<String> orphans = new ArrayList<>();
         for (String block : blocks.all()) {
@@ -488,7 +492,7 @@
                 deafHolder.put(block, lease.holder());
                 orphans.add(block);
             } else if (lease != null && alive(lease)) {
-                load.merge(lease.holder(), 1, Integer::sum);
+                load.add(lease.holder());
             } else {
                 orphans.add(block);
             }
@@ -511,7 +515,7 @@
                 }
             }
             if (best != null && txn.ops().size() < params.txnOps()) {
-                load.merge(best.name(), 1, Integer::sum);
+                load.add(best.name());
                 long term = Terms.blockTerm(acting.term(), ++blockSequence);
                 txn.put(Keys.block(block), Records.block(new BlockLease(best.name(), best.incarnation(), term)));
                 log.accept("block " + block + " goes to " + best.name() + " under term " + term);
@@ -538,9 +542,9 @@
             && now - movedAt.getOrDefault(block, actingSince) > 2 * params.nodeTtlMs() + 4 * params.reportMs();
     }
 
-    private String blockToMove(long now, Map<String, Integer> load) {
+    private String blockToMove(long now, Multiset<String> load) {
         for (NodeInfo n : mirror.nodes()) {
-            if (load.getOrDefault(n.name(), 0) > 0 || suspects.containsKey(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
+            if (load.contains(n.name()) || suspects.containsKey(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
                 || now - actingSince < 2 * params.nodeTtlMs()) {
                 continue;
             }
@@ -549,9 +553,9 @@
                 if (now - movedAt.getOrDefault(block, Long.MIN_VALUE / 2) < 8 * params.nodeTtlMs()) {
                     continue;
                 }
-                boolean crowded = load.getOrDefault(lease.holder(), 0) > 1;
+                boolean crowded = load.count(lease.holder()) > 1;
                 if (Blocks.zoneOf(block).equals(n.zone()) && (crowded || !zone(lease.holder()).equals(n.zone()))) {
-                    load.merge(lease.holder(), -1, Integer::sum);
+                    load.remove(lease.holder());
                     return block;
                 }
             }
@@ -564,8 +568,8 @@
         return n == null ? "" : n.zone();
     }
 
-    private static int cost(NodeInfo n, String block, Map<String, Integer> load) {
-        return 2 * load.getOrDefault(n.name(), 0) + (n.zone().equals(Blocks.zoneOf(block)) ? 0 : 1);
+    private static int cost(NodeInfo n, String block, Multiset<String> load) {
+        return 2 * load.count(n.name()) + (n.zone().equals(Blocks.zoneOf(block)) ? 0 : 1);
     }
 
     private static String key(NodeInfo n) {
--- /dev/null
+++ b/src/test/java/garnetscale/app/RehearsalTest.java
@@ -0,0 +1,15 @@
+package garnetscale.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
+
+/** Two whole controllers, a state service, a cloud and two workers over loopback sockets, until a job is done. */
+class RehearsalTest {
+
+    @Test
+    void runsAJobToDoneAndCancelsAnother() {
+        assertEquals(0, new CommandLine(new Rehearsal()).execute("--seconds", "120"));
+    }
+}
--- /dev/null
+++ b/src/test/java/garnetscale/core/trace/TraceRunner.java
@@ -0,0 +1,316 @@
+package garnetscale.core.trace;
+
+import garnetscale.core.Params;
+import garnetscale.core.bid.Bid;
+import garnetscale.core.bid.Estimator;
+import garnetscale.core.block.Blocks;
+import garnetscale.core.block.Holder;
+import garnetscale.core.block.NodeInfo;
+import garnetscale.core.job.JobRecord;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.JobState;
+import garnetscale.core.job.Priority;
+import garnetscale.core.job.TaskId;
+import garnetscale.core.lead.Leader;
+import garnetscale.core.lead.Pipeline;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Order;
+import garnetscale.core.machine.Report;
+import garnetscale.core.machine.ReportedTask;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Mirror;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.Txn;
+import garnetscale.core.store.TxnResult;
+import garnetscale.standin.StateModel;
+import garnetscale.standin.WorkerModel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Plays a trace: lines that begin with {@code >} are what happens, the others are what the core did. Nothing happens
+ * by itself; nodes hear of each other and of the store only when the trace says so. CONTRIBUTING.md has the words.
+ */
+final class TraceRunner {
+
+    private static final List<MachineType> TYPES = List.of(
+        new MachineType("big", 8, 1, 32, 20, 1, 1, 0.5, 20, List.of("a", "b")));
+
+    private final class Node {
+        final String name;
+        final Mirror mirror = new Mirror();
+        final Params params;
+        final Holder holder;
+        final Leader leader;
+        final Pipeline pipeline;
+        long lease;
+
+        Node(String name) {
+            this.name = name;
+            params = params(name);
+            Blocks blocks = new Blocks(params);
+            holder = new Holder(params, mirror, blocks, new Estimator(params.reportMs()));
+            leader = new Leader(params, mirror, blocks, s -> say(name + " logs: " + s));
+            pipeline = new Pipeline(mirror, leader);
+        }
+    }
+
+    private final StateModel state = new StateModel();
+    private final Map<String, Node> nodes = new TreeMap<>();
+    private final Map<String, WorkerModel> workers = new TreeMap<>();
+    private final Map<String, JobSpec> jobs = new HashMap<>();
+    private final List<Holder.Effect.Command> commands = new ArrayList<>();
+    private final Map<String, Txn> held = new HashMap<>();
+    private final StringBuilder out = new StringBuilder();
+    private long now;
+
+    TraceRunner() {
+        state.commit(new Txn().put(Keys.TYPES, Records.types(TYPES)));
+    }
+
+    private static Params params(String self) {
+        return new Params(self, List.of(new Params.Member("n0", "a", ""), new Params.Member("n1", "b", "")),
+            List.of("a", "b"), Params.byName(List.of(new Params.Team("red", 8, 12, 0, Double.POSITIVE_INFINITY),
+                new Params.Team("blue", 8, Double.POSITIVE_INFINITY, 0, 1))),
+            List.of(new Params.Objective("wait", "c", 2, 0.9, 0)), 1000, 10_000, 35_000, 24, 150, 60, 16_384, 1.5,
+            10_000, 600, 25);
+    }
+
+    /** Plays the inputs of a trace and returns it with what truly happened in place of the recorded effects. */
+    static String play(String trace) {
+        TraceRunner r = new TraceRunner();
+        for (String line : trace.split("\n")) {
+            if (line.startsWith("#") || line.isBlank()) {
+                r.out.append(line).append('\n');
+            } else if (line.startsWith(">")) {
+                r.out.append(line).append('\n');
+                r.input(line.substring(1).trim().split("\\s+"));
+            }
+        }
+        return r.out.toString();
+    }
+
+    private void say(String what) {
+        out.append("    ").append(what).append('\n');
+    }
+
+    private static String option(String[] w, String name, String other) {
+        for (String s : w) {
+            if (s.startsWith(name + "=")) {
+                return s.substring(name.length() + 1);
+            }
+        }
+        return other;
+    }
+
+    private static boolean flag(String[] w, String name) {
+        return List.of(w).contains(name);
+    }
+
+    private void input(String[] w) {
+        switch (w[0]) {
+            case "at" -> now = Long.parseLong(w[1]);
+            case "up" -> up(w[1]);
+            case "lapse" -> {
+                state.end(nodes.get(w[1]).lease);
+                if (flag(w, "crashed")) {
+                    nodes.remove(w[1]);
+                }
+            }
+            case "sync" -> nodes.values().stream().filter(n -> w.length == 1 || flag(w, n.name)).forEach(this::sync);
+            case "worker" -> workers.put(w[1], new WorkerModel(w[1], w[1], TYPES.get(0), option(w, "zone", "a"), 10_000,
+                now, jobs::get, new WorkerModel.Watcher() {
+                    @Override
+                    public void began(String machine, TaskId task, long attempt) {
+                        say(machine + " runs " + task);
+                    }
+
+                    @Override
+                    public void ended(String machine, TaskId task, long attempt, boolean completed) {
+                        say(machine + (completed ? " completed " : " ended ") + task);
+                    }
+                }));
+            case "job" -> job(w);
+            case "cancel" -> cancel(w[1]);
+            case "report" -> report(workers.get(w[1]), nodes.get(w[2]), flag(w, "lost"));
+            case "tick" -> effects(nodes.get(w[1]), true);
+            case "lead" -> lead(nodes.get(w[1]), w.length > 2 ? w[2] : "ok");
+            case "arrives" -> say(commit(held.remove(w[1])) + " for the held transaction");
+            case "command" -> command(w[1]);
+            case "store" -> say(w[1] + " = " + (state.get(w[1]) == null ? "nothing" : text(state.get(w[1]).value())));
+            default -> throw new IllegalArgumentException("not a word of traces: " + w[0]);
+        }
+    }
+
+    private void up(String name) {
+        Node n = new Node(name);
+        n.lease = state.grant(now, 1_000_000_000);
+        String zone = n.params.zoneOfNode(name);
+        state.commit(new Txn().put(Keys.node(name), Records.node(new NodeInfo(name, n.lease, zone)), n.lease));
+        n.holder.incarnate(n.lease);
+        n.leader.incarnate(n.lease);
+        nodes.put(name, n);
+        sync(n);
+    }
+
+    private void sync(Node n) {
+        if (n.mirror.loaded()) {
+            n.mirror.advance(state.changes(Keys.MIRRORED, n.mirror.ledger()), state.ledger());
+        } else {
+            n.mirror.reset(state.list(Keys.MIRRORED, null, 1000), state.ledger());
+        }
+        n.holder.confirmed(now);
+    }
+
+    private void job(String[] w) {
+        JobSpec s = new JobSpec(w[1], "c", option(w, "team", "red"), Priority.valueOf(option(w, "rank", "NORMAL")),
+            Integer.parseInt(option(w, "n", "1")), Double.parseDouble(option(w, "cpus", "2")), 0, 1, null, null,
+            flag(w, "one-zone"), flag(w, "spread"), true, "img", 2, Double.parseDouble(option(w, "est", "30")), 0, 0, null);
+        jobs.put(w[1], s);
+        state.commit(new Txn().guard(Keys.job(w[1]), 0).put(Keys.job(w[1]), Records.job(new JobRecord(s, JobState.LIVE, now))));
+    }
+
+    private void cancel(String id) {
+        StateModel.Entry e = state.get(Keys.job(id));
+        if (e == null) {
+            say("nothing to cancel: " + text(state.get(Keys.archived(id)).value()));
+            return;
+        }
+        JobRecord r = Records.job(id, e.value());
+        state.commit(new Txn().guard(Keys.job(id), e.stamp()).put(Keys.job(id), Records.job(r.withState(JobState.CANCELLED))));
+    }
+
+    private void report(WorkerModel m, Node n, boolean lost) {
+        m.advance(now);
+        Report r = m.report();
+        Holder.Reply reply = n.holder.onReport(now, r);
+        if (reply instanceof Holder.Reply.Answer a) {
+            say(n.name + " answers " + m.id() + " " + token(a.token()) + " " + orders(a.orders()) + (lost ? ", lost" : ""));
+            if (!lost) {
+                m.answered(now, now, r.shift(), a.token(), a.orders());
+            }
+        } else if (reply instanceof Holder.Reply.Redirect to) {
+            say(n.name + " sends " + m.id() + " to " + to.node());
+        } else {
+            say(n.name + " refuses " + m.id() + ": " + ((Holder.Reply.Refuse) reply).why());
+        }
+        effects(n, false);
+    }
+
+    private void effects(Node n, boolean tick) {
+        if (tick) {
+            n.holder.tick(now);
+        }
+        for (Holder.Effect e : n.holder.drain()) {
+            if (e instanceof Holder.Effect.Command c) {
+                say(n.name + " commands " + c.machine() + " " + token(c.token()) + " " + orders(c.orders()));
+                commands.add(c);
+            } else if (e instanceof Holder.Effect.Probe p) {
+                say(n.name + " asks " + p.machine());
+            } else if (e instanceof Holder.Effect.Tell t) {
+                say(n.name + " tells: " + t.observation().machine() + (t.observation().silent() ? " silent" : "") + " "
+                    + tasks(t.observation().tasks()) + (t.observation().gone().isEmpty() ? "" : " gone " + t.observation().gone().size()));
+                nodes.values().forEach(o -> o.leader.onObservation(now, t.observation()));
+            } else if (e instanceof Holder.Effect.Offer o) {
+                List<String> bids = new ArrayList<>();
+                for (Bid b : o.sheet().bids()) {
+                    bids.add(b.machine() + " for " + b.slots() + " of " + b.job() + " in " + b.finishS() + " s");
+                }
+                say(n.name + " bids " + bids);
+                nodes.values().forEach(l -> l.leader.onBids(now, o.sheet()));
+            }
+        }
+    }
+
+    /** Sends the leader's next transaction. Its end: ok, applied or lost (both without an answer), or held. */
+    private void lead(Node n, String end) {
+        if (!n.leader.leads(now)) {
+            Txn election = n.leader.election(now);
+            say(n.name + (election == null ? " doesn't stand: there is a leader" : " stands for leader: " + commit(election)));
+            sync(n);
+            n.leader.leads(now);
+            return;
+        }
+        Txn txn = n.pipeline.next(() -> n.leader.plan(now));
+        if (txn == null) {
+            say(n.name + " has nothing to write");
+            return;
+        }
+        StringBuilder ops = new StringBuilder();
+        for (Txn.Op op : txn.ops()) {
+            ops.append(ops.isEmpty() ? "" : "; ").append(op.key()).append(op.value() == null ? " removed" : " = " + text(op.value()));
+        }
+        String result = end.equals("lost") || end.equals("held") ? "no answer" : commit(txn) + (end.equals("applied") ? ", no answer" : "");
+        if (end.equals("held")) {
+            held.put(n.name, txn);
+        }
+        say(n.name + " writes " + ops + " -> " + result);
+        boolean ok = end.equals("ok");
+        n.pipeline.ended(!ok ? TxnResult.MAYBE : result.equals("200") ? TxnResult.OK : TxnResult.CONFLICT, state.ledger());
+        n.pipeline.ready();
+    }
+
+    private String commit(Txn txn) {
+        return String.valueOf(state.commit(txn));
+    }
+
+    /**
+     * Lets the oldest direct command arrive: ok, or late, when nobody waits for its answer any more. Lost means that
+     * the holder gives it up; it may arrive yet. Carried out means that a copy of it may come again.
+     */
+    private void command(String how) {
+        Holder.Effect.Command c = commands.get(0);
+        WorkerModel m = workers.get(c.machine());
+        Node n = nodes.values().stream().filter(x -> x.holder.machineNames().contains(c.machine())).findFirst().orElse(null);
+        if (how.equals("lost")) {
+            n.holder.onCommandLost(now, c.machine(), c.token());
+            return;
+        }
+        boolean done = m.command(now, c.token(), c.shift(), c.orders());
+        say(m.id() + (done ? " takes " : " refuses ") + "the command " + token(c.token()));
+        if (!how.equals("carried-out")) {
+            commands.remove(0);
+        }
+        if (!how.equals("late")) {
+            n.holder.onCommandAnswer(now, c.machine(), c.token(), m.report());
+            effects(n, false);
+        }
+    }
+
+    private static String token(long token) {
+        long term = token >> 20;
+        return "(term " + (term >> 20) + "." + (term & 0xfffff) + " token " + (token & 0xfffff) + ")";
+    }
+
+    private static String orders(List<Order> orders) {
+        List<String> list = new ArrayList<>();
+        for (Order o : orders) {
+            list.add(o.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT) + " " + o.task() + "#" + (o.attempt() & 0xffffff));
+        }
+        return list.toString();
+    }
+
+    private static String tasks(List<ReportedTask> tasks) {
+        List<String> list = new ArrayList<>();
+        for (ReportedTask t : tasks) {
+            list.add(t.task() + "#" + (t.attempt() & 0xffffff) + " " + (t.exited() ? t.cause() : t.state()));
+        }
+        return list.toString();
+    }
+
+    /** Values as in the store, with attempts cut to their number in the term. */
+    private static String text(Object value) {
+        if (value instanceof Map<?, ?> m) {
+            List<String> list = new ArrayList<>();
+            new TreeMap<>(m).forEach((k, v) -> list.add(k + ":" + text(v)));
+            return String.join(" ", list);
+        }
+        if (value instanceof List<?> l) {
+            return l.stream().map(TraceRunner::text).toList().toString();
+        }
+        return value instanceof Long n && n > 0xffffff ? "#" + (n & 0xffffff) : String.valueOf(value);
+    }
+}
--- /dev/null
+++ b/src/test/java/garnetscale/core/trace/TraceTest.java
@@ -0,0 +1,34 @@
+package garnetscale.core.trace;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** The kept traces. {@code -Dtraces=renew} writes them anew; CONTRIBUTING.md says when that is right. */
+class TraceTest {
+
+    private static final Path DIR = Path.of("src/test/resources/traces");
+
+    static List<Path> traces() throws IOException {
+        try (Stream<Path> list = Files.list(DIR)) {
+            return list.filter(p -> p.toString().endsWith(".trace")).sorted().toList();
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("traces")
+    void playsAsKept(Path trace) throws IOException {
+        String kept = Files.readString(trace);
+        String played = TraceRunner.play(kept);
+        if ("renew".equals(System.getProperty("traces"))) {
+            Files.writeString(trace, played);
+        }
+        assertEquals(kept, played);
+    }
+}
