--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -151,12 +151,12 @@
         if (!mirror.loaded() || mirror.types().isEmpty()) {
             return false;
         }
-        return state.ageMs() < 3000 || !peerReachesState();
+        return state.ageMs() < 3 * StateLink.CONFIRM_MS || !peerReachesState();
     }
 
     private boolean peerReachesState() {
         for (Peer p : heard.values()) {
-            if (now() - p.at() < 3 * HEARTBEAT_MS && p.last().stateAgeMs() + now() - p.at() < 3000) {
+            if (now() - p.at() < 3 * HEARTBEAT_MS && p.last().stateAgeMs() < 3 * StateLink.CONFIRM_MS) {
                 return true;
             }
         }
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -42,6 +42,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(StateLink.class);
     private static final long TIMEOUT_MS = 2000;
     private static final long WATCH_MS = 5000;
+    /** How often the mirror is confirmed when nobody asks. */
+    static final long CONFIRM_MS = 500;
     private static final int PAGE = 500;
     /** Parts of the limits that this node uses for itself: all nodes together stay below one. */
     private static final double WATCHES = 0.45;
@@ -92,7 +94,7 @@
         acquire();
         list();
         loop.scheduleAtFixedRate(this::renew, params.nodeTtlMs() / 4, params.nodeTtlMs() / 4, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(() -> sync(ok -> { }), 1000, Math.max(500, params.reportMs() / 2), TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(() -> sync(ok -> { }), CONFIRM_MS, CONFIRM_MS, TimeUnit.MILLISECONDS);
     }
 
     /** How old the newest request is that the service answered. */
