--- a/src/main/java/garnetscale/net/HttpServer.java
+++ b/src/main/java/garnetscale/net/HttpServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -27,6 +28,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashSet;
@@ -48,6 +50,8 @@
     private static final int MAX_BODY = 64 * 1024;
     /** A connection that hasn't brought a whole request for so long is shed. */
     private static final int IDLE_S = 30;
+    /** A request that takes longer than this to arrive is shed, however steadily its bytes come. */
+    private static final int ARRIVAL_S = 10;
 
     private final EventLoopGroup loop;
     private final Handler handler;
@@ -71,7 +75,7 @@
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel ch) {
-                    ch.pipeline().addLast(new IdleStateHandler(IDLE_S, 0, 0, TimeUnit.SECONDS), new HttpServerCodec(),
+                    ch.pipeline().addLast(new IdleStateHandler(IDLE_S, 0, 0, TimeUnit.SECONDS), new Pace(), new HttpServerCodec(),
                         new Aggregator(), new Connection());
                 }
             }).bind(HttpClient.address(hostPort));
@@ -91,6 +95,34 @@
         }
     }
 
+    /** Bounds the time from a request's first bytes to its last. */
+    private static final class Pace extends ChannelInboundHandlerAdapter {
+
+        private ScheduledFuture<?> deadline;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (deadline == null) {
+                deadline = ctx.executor().schedule(() -> ctx.close(), ARRIVAL_S, TimeUnit.SECONDS);
+            }
+            ctx.fireChannelRead(bytes);
+        }
+
+        /** The request is whole. */
+        void arrived() {
+            if (deadline != null) {
+                deadline.cancel(false);
+                deadline = null;
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            arrived();
+            ctx.fireChannelInactive();
+        }
+    }
+
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         private boolean worker;
@@ -127,6 +159,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            ctx.pipeline().get(Pace.class).arrived();
             if (!request.decoderResult().isSuccess()) {
                 ctx.writeAndFlush(response(Reply.of(400), false)).addListener(ChannelFutureListener.CLOSE);
                 return;
--- a/src/main/java/garnetscale/standin/WorkerModel.java
+++ b/src/main/java/garnetscale/standin/WorkerModel.java
@@ -56,6 +56,7 @@
     private long tick;
     private long token;
     private long leaseFrom;
+    private double slowness = 1;
 
     public WorkerModel(String id, String address, MachineType type, String zone, long leaseMs, long now,
                        Function<String, JobSpec> jobs, Watcher watcher) {
@@ -69,6 +70,11 @@
         this.watcher = watcher;
     }
 
+    /** Makes tasks that begin from now on take so many times as long. */
+    public void slowDown(double times) {
+        slowness = times;
+    }
+
     public long shift() {
         return shift;
     }
@@ -90,7 +96,7 @@
             if (t.state == TaskState.FETCHING && now >= t.until) {
                 images.add(job.image());
                 t.state = TaskState.RUNNING;
-                t.until = now + (results.contains(t.id) ? 0 : Math.round(job.estimateS() * 1000));
+                t.until = now + (results.contains(t.id) ? 0 : Math.round(job.estimateS() * 1000 * slowness));
                 watcher.began(id, t.id, t.attempt);
             }
             if (t.state == TaskState.RUNNING && now >= t.until) {
--- a/src/test/java/garnetscale/core/trace/TraceRunner.java
+++ b/src/test/java/garnetscale/core/trace/TraceRunner.java
@@ -135,6 +135,8 @@
                 }));
             case "job" -> job(w);
             case "cancel" -> cancel(w[1]);
+            case "slow" -> workers.get(w[1]).slowDown(Double.parseDouble(w[2]));
+            case "book" -> nodes.get(w[1]).holder.onBook(List.of(), nodes.get(w[1]).leader.lateJobs());
             case "report" -> report(workers.get(w[1]), nodes.get(w[2]), flag(w, "lost"));
             case "tick" -> effects(nodes.get(w[1]), true);
             case "lead" -> lead(nodes.get(w[1]), w.length > 2 ? w[2] : "ok");
@@ -262,6 +264,10 @@
      * the holder gives it up; it may arrive yet. Carried out means that a copy of it may come again.
      */
     private void command(String how) {
+        if (commands.isEmpty()) {
+            say("no command is under way");
+            return;
+        }
         Holder.Effect.Command c = commands.get(0);
         WorkerModel m = workers.get(c.machine());
         Node n = nodes.values().stream().filter(x -> x.holder.machineNames().contains(c.machine())).findFirst().orElse(null);
