--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -101,12 +101,8 @@
 
     /** Listens and starts; throws when an address is in use. */
     void start() throws IOException {
-        for (ChannelFuture f : List.of(server.listen(settings.listen()), peers.listen(settings.back()))) {
-            if (!f.awaitUninterruptibly().isSuccess()) {
-                loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
-                throw new IOException("can't listen: " + f.cause().getMessage());
-            }
-        }
+        await(server.listen(settings.listen()), settings.listen());
+        await(peers.listen(settings.back()), settings.back());
         loop.next().execute(() -> {
             state.start();
             for (Params.Member m : params.members()) {
@@ -119,6 +115,13 @@
         });
     }
 
+    private void await(ChannelFuture listening, String address) throws IOException {
+        if (!listening.awaitUninterruptibly().isSuccess()) {
+            stop();
+            throw new IOException("can't listen on " + address + ": " + listening.cause().getMessage());
+        }
+    }
+
     /** Ends all that the node does. */
     void stop() {
         loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
