--- /dev/null
+++ b/src/main/java/garnetscale/core/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Decides. A message and the time go in, effects come out; nothing in here waits, sends, reads a clock or keeps a
+ * thread. Its packages own one thing each: {@code job}, {@code machine} and {@code store} the records, {@code line}
+ * the order of work, {@code bid} bids and estimates, {@code quota} what teams use, {@code block} the holder's part,
+ * {@code lead} the leader's, {@code fleet} renting. Times are milliseconds of one steady clock; callers bring
+ * messages one at a time.
+ */
+package garnetscale.core;
