--- a/src/main/java/garnetscale/app/Front.java
+++ b/src/main/java/garnetscale/app/Front.java
@@ -36,6 +36,7 @@
     private final Mirror mirror;
     private final StateLink state;
     private final Function<JobView, String> why;
+    private final Consumer<String> cancelled;
     private int waiting;
     /** Jobs that are over; their state never changes again. */
     private final Map<String, Records.Archived> over = new LinkedHashMap<>(64, 0.75f, true) {
@@ -45,11 +46,12 @@
         }
     };
 
-    Front(Params params, Mirror mirror, StateLink state, Function<JobView, String> why) {
+    Front(Params params, Mirror mirror, StateLink state, Function<JobView, String> why, Consumer<String> cancelled) {
         this.params = params;
         this.mirror = mirror;
         this.state = state;
         this.why = why;
+        this.cancelled = cancelled;
     }
 
     /** Handles a path below /v2/runs. */
@@ -273,6 +275,7 @@
             waiting--;
             switch (result) {
                 case OK -> {
+                    cancelled.accept(id);
                     LOG.info("job {} of team {} cancelled by its user", id, job.spec().team());
                     answer.accept(Reply.of(200, UserCodec.answer(new UserCodec.Answer(id, "withdrawn",
                         job.finishedCount(), job.placedCount(), job.spec().team(), "cancelled by its user"))));
--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -89,7 +89,7 @@
             new HttpClient(loop, 6, 1000), settings.state(), mirror, this);
         this.cloud = new CloudLink(params, new HttpClient(loop, 1, 1000), settings.cloud(), fleet, this::onTypes,
             this::onDead, this::onListed);
-        this.front = new Front(params, mirror, state, this::why);
+        this.front = new Front(params, mirror, state, this::why, this::onCancelled);
         this.peers = new PeerLinks(loop, this::onPeer, this::onLink, this::onRefused);
         this.workers = new HttpClient(loop, 1, 1000);
         this.server = new HttpServer(loop, Math.max(16, params.maxConnections() / 2), this::onRequest);
@@ -255,6 +255,9 @@
                 holder.retell(now());
                 queueWork();
             }
+        } else if (m instanceof PeerMessage.Cancelled c) {
+            holder.onCancelled(c.job());
+            queueWork();
         } else if (m instanceof PeerMessage.Book b) {
             holder.onBook(b.machines(), b.lateJobs());
             queueWork();
@@ -457,6 +460,12 @@
         queueWork();
     }
 
+    private void onCancelled(String job) {
+        holder.onCancelled(job);
+        peers.sendAll(new PeerMessage.Cancelled(job));
+        queueWork();
+    }
+
     /** Why a job's work waits, for its user. */
     private String why(JobView job) {
         if (job.unstarted() == 0) {
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -24,6 +24,8 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -74,6 +76,7 @@
 
     /** Jobs of a line that a machine bids for at a time; more than enough to fill it between two sheets. */
     private static final int HEADS = 8;
+    private static final int REMEMBERED = 4096;
 
     private final Params params;
     private final Mirror mirror;
@@ -85,6 +88,8 @@
     private final Map<String, MachineView> machines = new TreeMap<>();
     private final List<Effect> effects = new ArrayList<>();
     private final Map<String, Address> book = new TreeMap<>();
+    /** Jobs that a peer says are cancelled; news that the mirror may not bring while this node is cut off. */
+    private final Set<String> cancelledByPeers = new LinkedHashSet<>();
     /** Started jobs that the leader takes late bids for. */
     private final Set<String> late = new HashSet<>();
     private long incarnation = -1;
@@ -336,9 +341,19 @@
         m.gone.retainAll(attempts);
     }
 
+    /** A peer has cancelled a job for its user. A cancelled job stays cancelled, so its word is enough. */
+    public void onCancelled(String job) {
+        cancelledByPeers.add(job);
+        if (cancelledByPeers.size() > REMEMBERED) {
+            Iterator<String> oldest = cancelledByPeers.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
     private boolean wanted(Placement p) {
         JobView job = mirror.job(p.task().job());
-        return job != null && job.live() && p.stop() == Placement.Stop.KEEP && !job.isFinished(p.task().index());
+        return job != null && job.live() && !cancelledByPeers.contains(p.task().job()) && p.stop() == Placement.Stop.KEEP && !job.isFinished(p.task().index());
     }
 
     /** What brings the machine from its newest report to what is stored. */
--- a/src/main/java/garnetscale/peer/PeerCodec.java
+++ b/src/main/java/garnetscale/peer/PeerCodec.java
@@ -58,6 +58,8 @@
             List<GenericRecord> rows = new ArrayList<>();
             b.machines().forEach(a -> rows.add(record("Address", a.machine(), a.address(), a.zone())));
             r = record("Book", rows, b.lateJobs());
+        } else if (message instanceof PeerMessage.Cancelled c) {
+            r = record("Cancelled", c.job());
         } else if (message instanceof PeerMessage.Bids b) {
             r = bids(b.sheet());
         } else {
@@ -109,6 +111,7 @@
                 case "Heartbeat" -> new PeerMessage.Heartbeat(text(r, "node"), whole(r, "incarnation"),
                     whole(r, "leaderTerm"), whole(r, "stateAgeMs"));
                 case "Book" -> new PeerMessage.Book(book(r), texts((List<?>) r.get("late")));
+                case "Cancelled" -> new PeerMessage.Cancelled(text(r, "job"));
                 case "Observation" -> new PeerMessage.Seen(observation(r));
                 case "BidSheet" -> new PeerMessage.Bids(sheet(r));
                 default -> throw new IOException("not a message: " + r.getSchema().getName());
--- a/src/main/java/garnetscale/peer/PeerMessage.java
+++ b/src/main/java/garnetscale/peer/PeerMessage.java
@@ -21,6 +21,10 @@
     record Book(List<Address> machines, List<String> lateJobs) implements PeerMessage {
     }
 
+    /** A user's cancellation that the sender has stored. */
+    record Cancelled(String job) implements PeerMessage {
+    }
+
     record Seen(Observation observation) implements PeerMessage {
     }
 
--- a/src/test/java/garnetscale/core/sim/SimulationTest.java
+++ b/src/test/java/garnetscale/core/sim/SimulationTest.java
@@ -11,7 +11,7 @@
 /** Many seeded days of failures, singly and together, with PROTOCOL's rules watched from outside. */
 class SimulationTest {
 
-    private static final int SEEDS = 80;
+    private static final int SEEDS = Integer.getInteger("seeds", 80);
     private static final long TROUBLE = 150_000;
 
     /** Plays a day; the jobs must all be over some time after the last failure. */
