--- /dev/null
+++ b/src/test/java/garnetscale/net/HttpServerTest.java
@@ -0,0 +1,94 @@
+package garnetscale.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The server against sockets that behave as sockets do. */
+class HttpServerTest {
+
+    private EventLoopGroup loop;
+    private int port;
+
+    @BeforeEach
+    void start() {
+        loop = new NioEventLoopGroup(1);
+        ChannelFuture f = new HttpServer(loop, 3, (method, path, body, answer) ->
+            answer.accept(new Reply(200, body, 2))).listen("127.0.0.1:0").awaitUninterruptibly();
+        port = ((InetSocketAddress) f.channel().localAddress()).getPort();
+    }
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private Socket connect() throws IOException {
+        Socket s = new Socket("127.0.0.1", port);
+        s.setTcpNoDelay(true);
+        s.setSoTimeout(20_000);
+        return s;
+    }
+
+    private static String firstLine(Socket s) throws IOException {
+        return new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII)).readLine();
+    }
+
+    @Test
+    void aRequestMayComeByteByByte() throws IOException {
+        try (Socket s = connect()) {
+            OutputStream out = s.getOutputStream();
+            for (byte b : "POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc".getBytes(StandardCharsets.US_ASCII)) {
+                out.write(b);
+                out.flush();
+            }
+            assertEquals("HTTP/1.1 200 OK", firstLine(s));
+        }
+    }
+
+    @Test
+    void aBodyOver64KiBIsMalformed() throws IOException {
+        try (Socket s = connect()) {
+            s.getOutputStream().write(
+                "POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 65537\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertEquals("HTTP/1.1 400 Bad Request", firstLine(s));
+        }
+    }
+
+    /** More users than there is room for push out those that rest; a worker's connection stays. */
+    @Test
+    void excessUsersDoNotPushOutWorkers() throws IOException {
+        byte[] hello = "POST /hello HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        List<Socket> users = new ArrayList<>();
+        try (Socket worker = connect()) {
+            worker.getOutputStream().write(hello);
+            assertEquals("HTTP/1.1 200 OK", firstLine(worker));
+            for (int i = 0; i < 8; i++) {
+                users.add(connect());
+            }
+            assertEquals(-1, users.get(0).getInputStream().read());
+            worker.getOutputStream().write(hello);
+            assertTrue(worker.getInputStream().read() > 0);
+        } finally {
+            for (Socket s : users) {
+                s.close();
+            }
+        }
+    }
+}
