--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -426,8 +426,9 @@
 
     /** Machines with placements that nobody has heard of in this term still have to be proved dead or alive. */
     private void adoptPlaced() {
-        machines.values().removeIf(m -> m.last == null && mirror.placements(m.id).isEmpty()
-            && !book.containsKey(m.id));
+        // Machines that were returned would be told of as silent for ever, and their holder be taken for deaf.
+        machines.values().removeIf(m -> (m.last == null || m.last.shift() <= m.lapsedShift)
+            && mirror.placements(m.id).isEmpty() && !book.containsKey(m.id));
         for (String id : mirror.placedMachines()) {
             if (!machines.containsKey(id) && !mirror.placements(id).isEmpty()) {
                 String block = blocks.blockOf(id, mirror.placedZone(id));
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -219,7 +219,7 @@
         for (long attempt : o.gone()) {
             gone.put(attempt, new Exit(o.machine(), o.block(), o.term(), null));
         }
-        if (o.type().isEmpty()) {
+        if (o.type().isEmpty() || dead.contains(o.machine())) {
             return;
         }
         MachineState m = machines.computeIfAbsent(o.machine(), MachineState::new);
