--- a/src/test/java/garnetscale/core/trace/TraceRunner.java
+++ b/src/test/java/garnetscale/core/trace/TraceRunner.java
@@ -136,6 +136,10 @@
             case "job" -> job(w);
             case "cancel" -> cancel(w[1]);
             case "told" -> nodes.get(w[1]).holder.onCancelled(w[2]);
+            case "retell" -> {
+                nodes.get(w[1]).holder.retell(now);
+                effects(nodes.get(w[1]), false);
+            }
             case "slow" -> workers.get(w[1]).slowDown(Double.parseDouble(w[2]));
             case "book" -> nodes.get(w[1]).holder.onBook(List.of(), nodes.get(w[1]).leader.lateJobs());
             case "report" -> report(workers.get(w[1]), nodes.get(w[2]), flag(w, "lost"));
