--- a/src/main/java/garnetscale/app/Rehearsal.java
+++ b/src/main/java/garnetscale/app/Rehearsal.java
@@ -129,8 +129,8 @@
         boolean cancelled = false;
         while (System.nanoTime() < end) {
             if (!accepted) {
-                accepted = post(listen[0], "/v2/runs", Cbor.write(job("wk-000001", 3, 0.5))).status() == 201
-                    && post(listen[1], "/v2/runs", Cbor.write(job("wk-000002", 9, 60))).status() == 201;
+                accepted = accepted(post(listen[0], "/v2/runs", Cbor.write(job("wk-000001", 3, 0.5))))
+                    && accepted(post(listen[1], "/v2/runs", Cbor.write(job("wk-000002", 9, 60))));
             } else {
                 call(listen[0], HttpMethod.GET, "/ready", null);
                 cancelled = cancelled || post(listen[0], "/v2/runs/wk-000002/cancel", null).status() == 200;
@@ -146,6 +146,11 @@
         return false;
     }
 
+    /** A repeat of a submission that was taken is answered with 200. */
+    private static boolean accepted(HttpResult r) {
+        return r.status() == 201 || r.status() == 200;
+    }
+
     private HttpResult post(String host, String path, byte[] body)
         throws InterruptedException, ExecutionException, TimeoutException {
         return call(host, HttpMethod.POST, path, body);
--- a/src/main/java/garnetscale/standin/StandIns.java
+++ b/src/main/java/garnetscale/standin/StandIns.java
@@ -241,8 +241,9 @@
                 Map<?, ?> m = result.status() == 200 || result.status() == 421 ? Cbor.readMap(result.body()) : Map.of();
                 if (result.is(200)) {
                     w.answered(now(), sentAt, r.shift(), ((Number) m.get("baton")).longValue(), orders(m));
-                } else if (result.is(421) && controllers.contains(m.get("steward"))) {
-                    target.put(w.id(), controllers.indexOf(m.get("steward")));
+                } else if (result.is(421) && m.get("steward") instanceof String to && controllers.contains(to)) {
+                    // A steward may be missing: asking an immutable list for null ended the worker for good.
+                    target.put(w.id(), controllers.indexOf(to));
                     pause = 10;
                 } else {
                     target.merge(w.id(), 1, Integer::sum);
