Cheaper turns: scarcity by distinct sets, bids ranked once, fleet and drafts paced

Scarcity compared every waiting job with every other for every machine; ranking looked each machine up four times a comparison; what the fleet lacks was worked out on every turn in which there was nothing to call the cloud for.

--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -51,6 +51,10 @@
     private static final long HEARTBEAT_MS = 1000;
     /** What happens within this time is worked on together. */
     private static final long TURN_MS = 4;
+    /** What the fleet lacks is worked out no more often than this while there is nothing to ask of the cloud. */
+    private static final long FLEET_MS = 2 * TICK_MS;
+    /** Drafts in a window; each goes through all that waits. */
+    private static final int PLANS_IN_WINDOW = 10;
     /** The pause after a turn, in multiples of what it took. */
     private static final long REST = 3;
 
@@ -77,6 +81,8 @@
     private long ledTerm = -1;
     private long wakeAt = -1;
     private long restUntil;
+    private long fleetAt = Long.MIN_VALUE / 2;
+    private long plannedAt = Long.MIN_VALUE / 2;
     private List<MachineType> types = List.of();
     private long lease = -1;
     private PeerMessage.Book lastBook;
@@ -395,9 +401,11 @@
             holder.retell(now);
             holder.drain().forEach(this::carryOut);
         }
-        if (state.ageMs() < 3000 && cloud.ready(now)) {
+        if (state.ageMs() < 3000 && cloud.ready(now) && now - fleetAt >= FLEET_MS) {
+            fleetAt = now;
             CloudCall call = fleet.next(now, leader.machines(), leader.condemned());
             if (call != null) {
+                fleetAt = now - FLEET_MS;
                 cloud.call(now, call);
             }
         }
@@ -426,6 +434,11 @@
     }
 
     private void transact(long now) {
+        long gap = params.windowMs() / PLANS_IN_WINDOW;
+        if (now - plannedAt < gap) {
+            wakeAt(plannedAt + gap);
+            return;
+        }
         Txn txn = pipeline.next(() -> nextChange(now));
         if (txn == null) {
             long wait = leader.nextPlan(now);
@@ -449,6 +462,7 @@
     }
 
     private Txn nextChange(long now) {
+        plannedAt = now;
         if (!types.isEmpty() && mirror.types().isEmpty()) {
             return new Txn().guard(Keys.LEADER, mirror.stamp(Keys.LEADER)).put(Keys.TYPES, Records.types(types));
         }
--- a/src/main/java/garnetscale/core/bid/Bidding.java
+++ b/src/main/java/garnetscale/core/bid/Bidding.java
@@ -85,9 +85,8 @@
         JobSpec spec = job.spec();
         List<Offer> offers = new ArrayList<>();
         for (Bidder b : open) {
-            int whole = b.whole.slots(spec);
-            int left = b.left.slots(spec);
-            int slots = b.last == job ? 0 : !taken ? left : whole;
+            Room room = taken ? b.whole : b.left;
+            int slots = b.last == job || room.cpus() + MachineType.EPSILON < spec.cpus() ? 0 : room.slots(spec);
             if (slots > 0 && Line.allows(b.type, b.zone, b.spot, spec) && scarcity.mayTake(job, b.type, wallMs)) {
                 double fetch = mirror.images(b.machine).containsKey(spec.image()) ? 0 : Estimator.fetchS(spec, b.type);
                 double run = estimator.runS(spec, b.machine);
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -14,6 +14,7 @@
 import garnetscale.core.store.JobView;
 import garnetscale.core.store.Mirror;
 import garnetscale.core.store.Rooms;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -65,7 +66,8 @@
         double kept = reserve.cpus(fleet);
         List<JobView> waiting = Line.sort(mirror.jobs(), order, wallMs);
         for (JobView job : waiting) {
-            if (!ready.test(job) || !auction.closed(now, job)) {
+            boolean reserved = free - job.spec().cpus() < kept && reserve.binds(job, wallMs);
+            if (!ready.test(job) || !auction.closed(now, job) || reserved || !draft.quota().allows(job.spec())) {
                 continue;
             }
             int next = job.nextUnstarted(0);
@@ -108,9 +110,16 @@
      * machines go first: what costs a task nothing there leaves ordinary ones to those that would lose by it.
      */
     private List<Bid> ranked(JobView job) {
-        List<Bid> bids = auction.bids(job.spec().id());
-        bids.sort(Comparator.comparingLong((Bid b) -> Math.round(b.finishS()))
-            .thenComparingInt(b -> machines.containsKey(b.machine()) && machines.get(b.machine()).last.spot() ? 0 : 1));
+        record Ranked(long rank, Bid bid) {
+        }
+        List<Ranked> ranked = new ArrayList<>();
+        for (Bid b : auction.bids(job.spec().id())) {
+            MachineState m = machines.get(b.machine());
+            ranked.add(new Ranked(2 * Math.round(b.finishS()) + (m != null && m.last.spot() ? 0 : 1), b));
+        }
+        ranked.sort(Comparator.comparingLong(Ranked::rank));
+        List<Bid> bids = new ArrayList<>(ranked.size());
+        ranked.forEach(r -> bids.add(r.bid()));
         return bids;
     }
 
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -32,10 +32,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.agrona.collections.Long2ObjectHashMap;
 
@@ -75,7 +75,7 @@
     private final Reserve reserve;
     private final Rooms rooms;
     private final Consumer<String> log;
-    private final Map<String, MachineState> machines = new TreeMap<>();
+    private final Map<String, MachineState> machines = new LinkedHashMap<>();
     private final Long2ObjectHashMap<Exit> exits = new Long2ObjectHashMap<>();
     /** Attempts that a holder calls gone, with the block term that it says so under. */
     private final Long2ObjectHashMap<Exit> gone = new Long2ObjectHashMap<>();
--- a/src/main/java/garnetscale/core/line/Scarcity.java
+++ b/src/main/java/garnetscale/core/line/Scarcity.java
@@ -4,7 +4,6 @@
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.store.JobView;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,7 +24,8 @@
 
     private final Map<String, Double> patienceS = new HashMap<>();
     private final Map<String, Set<String>> typesOf = new HashMap<>();
-    private final List<Set<String>> bound = new ArrayList<>();
+    /** The different sets of types that jobs are bound to: few, however many wait. */
+    private final Set<Set<String>> bound = new HashSet<>();
 
     public Scarcity(Params params) {
         for (Params.Objective o : params.objectives()) {
