--- a/src/main/java/garnetscale/core/bid/Bidding.java
+++ b/src/main/java/garnetscale/core/bid/Bidding.java
@@ -48,6 +48,14 @@
     /** Jobs of a line that a machine bids for at a time; more than enough to fill it between two sheets. */
     private static final int HEADS = 8;
 
+    /**
+     * Room is offered to jobs behind those that it would go to, this many times over: some of them may get more from other
+     * holders, or may not start for a reason that the leader knows. Without a bound a room that is kept free would be
+     * offered to all that wait, again and again.
+     */
+    private static final double OVERBOOKED = 3;
+
+    private double overbooked;
     private final Mirror mirror;
     private final Estimator estimator;
     private final Scarcity scarcity;
@@ -64,8 +72,9 @@
     public List<Bid> bids(List<JobView> waiting, List<Bidder> bidders) {
         List<Bid> bids = new ArrayList<>();
         List<Bidder> open = new ArrayList<>(bidders);
+        double room = bidders.stream().mapToDouble(b -> b.whole.cpus()).sum();
         for (JobView job : waiting) {
-            if (open.isEmpty()) {
+            if (open.isEmpty() || overbooked > OVERBOOKED * room) {
                 break;
             }
             int tasks = job.unstarted() == 0 ? job.placedCount() : job.unstarted();
@@ -106,7 +115,9 @@
             bids.add(new Bid(b.machine, b.shift, spec.id(), slots, o.finishS()));
             b.heads++;
             b.last = job;
-            if (!taken) {
+            if (taken) {
+                overbooked += slots * spec.cpus();
+            } else {
                 b.left.take(spec, Math.min(slots, missing));
             }
             missing -= slots;
