--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -86,7 +86,7 @@
                         break;
                     }
                     if (!room.fits(job.spec()) || !draft.quota().allows(job.spec()) || !zoneAllows(draft, job, m)
-                        || draft.placements(m.id).size() >= perMachine || !draft.hasRoomFor(m.id, false)) {
+                        || draft.placements(m.id).size() >= perMachine || !draft.hasRoom(false)) {
                         break;
                     }
                     Placement p = new Placement(new TaskId(job.spec().id(), next), attempts.getAsLong(), bid.shift(),
--- a/src/main/java/garnetscale/core/lead/Draft.java
+++ b/src/main/java/garnetscale/core/lead/Draft.java
@@ -33,6 +33,7 @@
 
     /** An image with a longer name isn't noted: a few of them would fill a machine's record. */
     private static final int LONGEST_IMAGE = 100;
+    private static final int MOST_IMAGES = 16;
 
     private final Mirror mirror;
     private final QuotaBook quota;
@@ -65,8 +66,8 @@
     }
 
     /** Whether a change of a machine still fits into the transaction, and the end of a job if that comes with it. */
-    boolean hasRoomFor(String machine, boolean mayEndJob) {
-        return ops + (mayEndJob ? 2 : 0) <= opLimit && log.fits(machines.containsKey(machine) ? 0 : log.size(machine));
+    boolean hasRoom(boolean mayEndJob) {
+        return ops + (mayEndJob ? 2 : 0) <= opLimit && log.fits(0);
     }
 
     /** Whether a job's end, and nothing else, still fits. */
@@ -86,7 +87,7 @@
 
     private List<Placement> edit(String machine, String zone) {
         return machines.computeIfAbsent(machine, id -> {
-            log.take(log.size(id));
+            log.take(log.sizeOfRow(id, zone));
             zones.put(id, zone);
             images.put(id, new LinkedHashMap<>(mirror.images(id)));
             return new ArrayList<>(mirror.placements(id));
@@ -95,6 +96,7 @@
 
     void free(String machine, Placement p) {
         edit(machine, mirror.placedZone(machine)).remove(p);
+        log.take(LogWriter.sizeOfAttempt());
         JobView job = mirror.job(p.task().job());
         if (job != null) {
             quota.add(job.spec(), -1);
@@ -106,12 +108,13 @@
         int i = list.indexOf(p);
         if (i >= 0) {
             list.set(i, p.withStop(how));
+            log.take(LogWriter.sizeOfAttempt());
         }
     }
 
     void place(String machine, MachineType type, String zone, Placement p, JobSpec job) {
         edit(machine, zone).add(p);
-        log.take(LogWriter.sizeOfPlacement(job));
+        log.take(LogWriter.sizeOfPlacement(job, images.get(machine).keySet()));
         keepImage(images.get(machine), type, job);
         quota.add(job, 1);
         awarded.computeIfAbsent(job.id(), k -> new HashSet<>()).add(p.task().index());
@@ -129,7 +132,7 @@
             sum += gb;
         }
         Iterator<Double> oldest = kept.values().iterator();
-        while (sum > type.cacheGb() && oldest.hasNext()) {
+        while ((sum > type.cacheGb() || kept.size() > MOST_IMAGES) && oldest.hasNext()) {
             sum -= oldest.next();
             oldest.remove();
         }
@@ -152,7 +155,7 @@
         }
         String part = WorkLog.partOf(id, task);
         if (parts.add(part)) {
-            log.take(LogWriter.sizeOfPart(part));
+            log.take(LogWriter.sizeOfPart(part, job.spec().tasks()));
         }
     }
 
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -343,7 +343,7 @@
             double left = m.last.noticeS() - (now - m.seen) / 1000.0;
             for (Placement p : mirror.placements(m.id)) {
                 JobView job = mirror.job(p.task().job());
-                if (job == null || !job.live() || p.stop() != Placement.Stop.KEEP || !draft.hasRoomFor(m.id, false)) {
+                if (job == null || !job.live() || p.stop() != Placement.Stop.KEEP || !draft.hasRoom(false)) {
                     continue;
                 }
                 Long since = m.runningSince.get(p.attempt());
@@ -378,7 +378,7 @@
                     if (other == null || other.condemned || now < other.avoidUntil) {
                         continue;
                     }
-                    if (LateBids.accepts(earlier, b.finishS()) && draft.hasRoomFor(m.id, false)) {
+                    if (LateBids.accepts(earlier, b.finishS()) && draft.hasRoom(false)) {
                         draft.stop(m.id, p, job.spec().savesProgress() ? Placement.Stop.SAVE : Placement.Stop.NOW);
                         log.accept("task " + p.task() + " is stopped on " + m.id + ": a late bid of " + b.machine()
                             + " is better by " + Math.round(100 * LateBids.improvement(earlier, b.finishS())) + "%");
@@ -441,7 +441,7 @@
             if (p == null) {
                 exits.remove(e.attempt());
             } else if (isCurrent(e)) {
-                if (!draft.hasRoomFor(e.machine(), true)) {
+                if (!draft.hasRoom(true)) {
                     return;
                 }
                 JobView job = mirror.job(p.task().job());
@@ -458,7 +458,7 @@
             if (p == null) {
                 gone.remove(e.attempt());
             } else if (isCurrent(e) && draft.placements(e.machine()).contains(p)) {
-                if (!draft.hasRoomFor(e.machine(), true)) {
+                if (!draft.hasRoom(true)) {
                     return;
                 }
                 draft.free(e.machine(), p);
@@ -469,7 +469,7 @@
             if (mirror.placedZone(machine) == null) {
                 continue;
             }
-            if (!draft.hasRoomFor(machine, true)) {
+            if (!draft.hasRoom(true)) {
                 return;
             }
             for (Placement p : List.copyOf(draft.placements(machine))) {
--- a/src/main/java/garnetscale/core/lead/Preemption.java
+++ b/src/main/java/garnetscale/core/lead/Preemption.java
@@ -77,7 +77,7 @@
         victims.sort(Comparator.comparingDouble(Victim::lostS));
         int stopped = 0;
         for (Victim v : victims) {
-            if (missing <= 0 || stopped >= Math.max(MOST, machines.size() / MOST_OF_FLEET) || !draft.hasRoomFor(v.machine().id, false)) {
+            if (missing <= 0 || stopped >= Math.max(MOST, machines.size() / MOST_OF_FLEET) || !draft.hasRoom(false)) {
                 break;
             }
             JobSpec s = v.job().spec();
--- a/src/main/java/garnetscale/core/store/LogWriter.java
+++ b/src/main/java/garnetscale/core/store/LogWriter.java
@@ -2,8 +2,10 @@
 
 import garnetscale.core.job.JobSpec;
 import java.util.BitSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Writes the work log's part of one transaction: its entry, and the base of a shard when one is due. */
 public final class LogWriter {
@@ -11,7 +13,10 @@
     /** What a transaction may hold in all, and what is left of it for guards and the ends of jobs. */
     private static final int TXN_BYTES = 64 * 1024;
     private static final int ASIDE = 14 * 1024;
-    private static final int ROW = 52;
+    /** An attempt that is freed or stopped. */
+    private static final int ATTEMPT = 28;
+    /** The images of a machine, which a placement may change, and a part of a finished set, which a finish may. */
+    private static final int MARGIN = 1024;
 
     private final Mirror mirror;
     private final List<WorkLog.Contents> fold;
@@ -38,24 +43,30 @@
 
     /** Whether so many bytes and what a change of a machine usually brings fit into the entry. */
     public boolean fits(int bytes) {
-        return bytes + 4 * ROW + WorkLog.PART / 4 + 128 <= left;
+        return bytes + MARGIN <= left;
     }
 
     public void take(int bytes) {
         left -= bytes;
     }
 
-    public int size(String machine) {
-        return WorkLog.size(machine, new MachineRecord(mirror.placedZone(machine), mirror.placements(machine),
-            mirror.images(machine)));
+    /** What a change of a machine takes by itself. */
+    public int sizeOfRow(String machine, String zone) {
+        return WorkLog.rowSize(machine, zone);
     }
 
-    public static int sizeOfPlacement(JobSpec job) {
-        return job.id().length() + ROW + WorkLog.imageSize(job.image());
+    public static int sizeOfAttempt() {
+        return ATTEMPT;
     }
 
-    public static int sizeOfPart(String part) {
-        return WorkLog.size(part);
+    /** A placement; with a new image all images of the machine are written. */
+    public static int sizeOfPlacement(JobSpec job, Set<String> images) {
+        return job.id().length() + WorkLog.ROW
+            + (images.contains(job.image()) ? 0 : WorkLog.imagesSize(images) + WorkLog.imageSize(job.image()));
+    }
+
+    public static int sizeOfPart(String part, int tasks) {
+        return WorkLog.size(part, tasks);
     }
 
     /** Adds the entry, if it holds anything, and the fold, if one is due. */
@@ -66,7 +77,9 @@
         if (!machines.isEmpty()) {
             String key = WorkLog.key(next);
             txn.guard(key, mirror.stamp(key));
-            txn.put(key, WorkLog.value(new WorkLog.Contents(next, machines, parts)));
+            Map<String, Delta> changes = new LinkedHashMap<>();
+            machines.forEach((id, m) -> changes.put(id, Delta.between(mirror.machine(id), m)));
+            txn.put(key, WorkLog.value(new WorkLog.Entry(next, changes, parts)));
         }
         for (int page = 0; page < fold.size(); page++) {
             txn.put(WorkLog.baseKey(shard, page), WorkLog.pageValue(fold.get(page), fold.size()));
--- a/src/main/java/garnetscale/core/store/Mirror.java
+++ b/src/main/java/garnetscale/core/store/Mirror.java
@@ -70,7 +70,7 @@
         return jobs.values();
     }
 
-    private MachineRecord machine(String id) {
+    MachineRecord machine(String id) {
         return machines.getOrDefault(id, MachineRecord.NONE);
     }
 
@@ -196,13 +196,13 @@
         Arrays.fill(bases, 0);
         Arrays.fill(pages, 0);
         torn = false;
-        TreeMap<Long, WorkLog.Contents> entries = new TreeMap<>();
+        TreeMap<Long, WorkLog.Entry> entries = new TreeMap<>();
         Map<Integer, Long> firstPages = new HashMap<>();
         int[] expected = new int[WorkLog.SHARDS];
         for (Change c : all) {
             stamps.put(c.key(), c.stamp());
             if (c.key().startsWith(Keys.LOG)) {
-                WorkLog.Contents e = WorkLog.contents(c.value());
+                WorkLog.Entry e = WorkLog.entry(c.value());
                 entries.put(e.number(), e);
             } else if (c.key().startsWith(Keys.BASE)) {
                 WorkLog.Contents base = WorkLog.contents(c.value());
@@ -222,7 +222,7 @@
         for (long base : bases) {
             sequence = Math.min(sequence, base);
         }
-        for (WorkLog.Contents e = entries.get(sequence + 1); e != null; e = entries.get(sequence + 1)) {
+        for (WorkLog.Entry e = entries.get(sequence + 1); e != null; e = entries.get(sequence + 1)) {
             applyEntry(e);
         }
         ledger = torn ? -1 : revision;
@@ -233,13 +233,13 @@
         if (revision <= ledger) {
             return false;
         }
-        TreeMap<Long, WorkLog.Contents> entries = new TreeMap<>();
+        TreeMap<Long, WorkLog.Entry> entries = new TreeMap<>();
         List<String> over = new ArrayList<>();
         for (Change c : log) {
             // A page of a listing may be newer than the revision that the watch goes on from.
             if (c.stamp() <= ledger || c.stamp() < stamp(c.key())) {
                 if (c.key().startsWith(Keys.LOG) && c.value() != null && c.stamp() > ledger) {
-                    WorkLog.Contents e = WorkLog.contents(c.value());
+                    WorkLog.Entry e = WorkLog.entry(c.value());
                     entries.put(e.number(), e);
                 }
                 continue;
@@ -250,7 +250,7 @@
                 stamps.put(c.key(), c.stamp());
             }
             if (c.key().startsWith(Keys.LOG)) {
-                WorkLog.Contents e = WorkLog.contents(c.value());
+                WorkLog.Entry e = WorkLog.entry(c.value());
                 entries.put(e.number(), e);
             } else if (c.key().startsWith(Keys.BASE)) {
                 // What it says is in here already; only how far it goes matters, for the next fold.
@@ -266,7 +266,7 @@
                 }
             }
         }
-        for (Map.Entry<Long, WorkLog.Contents> e : entries.entrySet()) {
+        for (Map.Entry<Long, WorkLog.Entry> e : entries.entrySet()) {
             if (e.getKey() == sequence + 1) {
                 applyEntry(e.getValue());
             } else if (e.getKey() > sequence) {
@@ -279,10 +279,10 @@
     }
 
     /** Bases read later than the entries may be ahead of them: what they hold is newer than such an entry says. */
-    private void applyEntry(WorkLog.Contents e) {
-        e.machines().forEach((id, m) -> {
+    private void applyEntry(WorkLog.Entry e) {
+        e.machines().forEach((id, delta) -> {
             if (e.number() > read[WorkLog.shardOfMachine(id)]) {
-                applyMachine(id, m);
+                applyMachine(id, delta.applyTo(machine(id)));
             }
         });
         e.parts().forEach((part, set) -> {
--- a/src/main/java/garnetscale/core/store/Records.java
+++ b/src/main/java/garnetscale/core/store/Records.java
@@ -13,9 +13,11 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** How the values of the state service look: maps with short keys, since every byte of them is sent again and again. */
 public final class Records {
@@ -86,27 +88,80 @@
     }
 
     static Map<String, Object> machine(MachineRecord m) {
-        List<Object> rows = new ArrayList<>(m.placements().size());
-        for (Placement p : m.placements()) {
+        return Map.of("z", m.zone(), "p", rows(m.placements()), "i", rows(m.images()));
+    }
+
+    static MachineRecord machine(Map<?, ?> value) {
+        return new MachineRecord(text(value, "z"), placements((List<?>) value.get("p")), images((List<?>) value.get("i")));
+    }
+
+    /** An empty map where the record is removed; what hasn't changed is left out. */
+    static Map<String, Object> delta(Delta d) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        if (d.zone() != null) {
+            m.put("z", d.zone());
+        }
+        if (!d.freed().isEmpty()) {
+            m.put("-", List.copyOf(d.freed()));
+        }
+        if (!d.stops().isEmpty()) {
+            List<Object> rows = new ArrayList<>();
+            d.stops().forEach((attempt, stop) -> rows.add(List.of(attempt, stop.ordinal())));
+            m.put("s", rows);
+        }
+        if (!d.placed().isEmpty()) {
+            m.put("+", rows(d.placed()));
+        }
+        if (d.images() != null) {
+            m.put("i", rows(d.images()));
+        }
+        return m;
+    }
+
+    static Delta delta(Map<?, ?> value) {
+        Set<Long> freed = new HashSet<>();
+        list(value, "-").forEach(o -> freed.add(((Number) o).longValue()));
+        Map<Long, Placement.Stop> stops = new LinkedHashMap<>();
+        list(value, "s").forEach(o -> stops.put(((Number) ((List<?>) o).get(0)).longValue(),
+            STOPS[((Number) ((List<?>) o).get(1)).intValue()]));
+        return new Delta(text(value, "z"), freed, stops, placements(list(value, "+")),
+            value.get("i") instanceof List<?> l ? images(l) : null);
+    }
+
+    private static List<?> list(Map<?, ?> m, String key) {
+        return m.get(key) instanceof List<?> l ? l : List.of();
+    }
+
+    private static List<Object> rows(List<Placement> placements) {
+        List<Object> rows = new ArrayList<>(placements.size());
+        for (Placement p : placements) {
             rows.add(List.of(p.task().toString(), p.attempt(), p.shift(), p.stop().ordinal()));
         }
-        List<Object> kept = new ArrayList<>(m.images().size());
-        m.images().forEach((name, gb) -> kept.add(List.of(name, gb)));
-        return Map.of("z", m.zone(), "p", rows, "i", kept);
+        return rows;
     }
 
-    static MachineRecord machine(Map<?, ?> value) {
-        List<Placement> list = new ArrayList<>();
-        for (Object o : (List<?>) value.get("p")) {
+    private static List<Object> rows(Map<String, Double> images) {
+        List<Object> rows = new ArrayList<>(images.size());
+        images.forEach((name, gb) -> rows.add(List.of(name, gb)));
+        return rows;
+    }
+
+    private static List<Placement> placements(List<?> rows) {
+        List<Placement> list = new ArrayList<>(rows.size());
+        for (Object o : rows) {
             List<?> row = (List<?>) o;
             list.add(new Placement(TaskId.parse((String) row.get(0)), ((Number) row.get(1)).longValue(),
                 ((Number) row.get(2)).longValue(), STOPS[((Number) row.get(3)).intValue()]));
         }
+        return List.copyOf(list);
+    }
+
+    private static Map<String, Double> images(List<?> rows) {
         Map<String, Double> images = new LinkedHashMap<>();
-        for (Object o : (List<?>) value.get("i")) {
+        for (Object o : rows) {
             images.put((String) ((List<?>) o).get(0), num((List<?>) o, 1));
         }
-        return new MachineRecord(text(value, "z"), List.copyOf(list), images);
+        return images;
     }
 
     /** Bytes that a text takes as the protocol counts them, in JSON. */
--- a/src/main/java/garnetscale/core/store/WorkLog.java
+++ b/src/main/java/garnetscale/core/store/WorkLog.java
@@ -1,16 +1,18 @@
 package garnetscale.core.store;
 
 import garnetscale.core.block.Blocks;
+import garnetscale.core.machine.Placement;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
- * How placements and finished sets are stored: one numbered entry for each transaction of the leader, with the new
- * record of every machine and the new part of every finished set that it changes. One change carries so a whole
+ * How placements and finished sets are stored: one numbered entry for each transaction of the leader, with the
+ * change of every machine and the new part of every finished set that it touches. One change carries so a whole
  * award or a batch of finishes; with a key for each machine the state service's changes a second would bound how many
  * tasks a second can start.
  *
@@ -30,10 +32,17 @@
     /** Tasks per part of a finished set, so that a job of any size keeps each part small and one finish writes little. */
     static final int PART = 2048;
 
+    /** Bytes of a placement's row beside its job's id. */
+    static final int ROW = 52;
+
     private WorkLog() {
     }
 
-    /** A machine's or a finished part's new state in an entry or base; null when there is none any more. */
+    /** An entry: the changes of machines, and the new parts of finished sets. */
+    record Entry(long number, Map<String, Delta> machines, Map<String, BitSet> parts) {
+    }
+
+    /** A page of a base: machines and parts of finished sets as they are after the entry of that number. */
     record Contents(long number, Map<String, MachineRecord> machines, Map<String, BitSet> parts) {
     }
 
@@ -93,40 +102,66 @@
 
     /** The value of a page of a base: it says how many there are, since a listing may read them at different moments. */
     static Map<String, Object> pageValue(Contents page, int pages) {
-        Map<String, Object> value = value(page);
+        Map<String, Object> machines = new LinkedHashMap<>();
+        page.machines().forEach((id, m) -> machines.put(id, Records.machine(m)));
+        Map<String, Object> value = value(page.number(), machines, page.parts());
         value.put("c", pages);
         return value;
     }
 
-    static Map<String, Object> value(Contents c) {
+    static Map<String, Object> value(Entry e) {
         Map<String, Object> machines = new LinkedHashMap<>();
-        c.machines().forEach((id, m) -> machines.put(id, m.zone() == null ? List.of() : Records.machine(m)));
+        e.machines().forEach((id, d) -> machines.put(id, Records.delta(d)));
+        return value(e.number(), machines, e.parts());
+    }
+
+    private static Map<String, Object> value(long number, Map<String, Object> machines, Map<String, BitSet> sets) {
         Map<String, Object> parts = new LinkedHashMap<>();
-        c.parts().forEach((id, set) -> parts.put(id, Records.bits(set)));
+        sets.forEach((id, set) -> parts.put(id, Records.bits(set)));
         Map<String, Object> value = new TreeMap<>();
-        value.put("n", c.number());
+        value.put("n", number);
         value.put("m", machines);
         value.put("f", parts);
         return value;
     }
 
-    static Contents contents(Object value) {
+    static Entry entry(Object value) {
         Map<?, ?> v = (Map<?, ?>) value;
-        Map<String, MachineRecord> machines = new LinkedHashMap<>();
-        ((Map<?, ?>) v.get("m")).forEach((id, m) -> machines.put((String) id, m instanceof Map<?, ?> row
-            ? Records.machine(row) : MachineRecord.NONE));
+        Map<String, Delta> machines = new LinkedHashMap<>();
+        ((Map<?, ?>) v.get("m")).forEach((id, d) -> machines.put((String) id, Records.delta((Map<?, ?>) d)));
+        return new Entry(((Number) v.get("n")).longValue(), machines, parts(v));
+    }
+
+    private static Map<String, BitSet> parts(Map<?, ?> v) {
         Map<String, BitSet> parts = new LinkedHashMap<>();
         ((Map<?, ?>) v.get("f")).forEach((id, set) -> parts.put((String) id, Records.bits((String) set)));
-        return new Contents(((Number) v.get("n")).longValue(), machines, parts);
+        return parts;
+    }
+
+    static Contents contents(Object value) {
+        Map<?, ?> v = (Map<?, ?>) value;
+        Map<String, MachineRecord> machines = new LinkedHashMap<>();
+        ((Map<?, ?>) v.get("m")).forEach((id, m) -> machines.put((String) id, Records.machine((Map<?, ?>) m)));
+        return new Contents(((Number) v.get("n")).longValue(), machines, parts(v));
     }
 
     /** Bytes that a machine's row takes at the most, counted as the protocol counts them. */
     static int size(String id, MachineRecord m) {
-        int bytes = id.length() + 40 + (m.zone() == null ? 0 : m.zone().length());
-        for (var p : m.placements()) {
-            bytes += p.task().job().length() + 52;
+        int bytes = rowSize(id, m.zone()) + imagesSize(m.images().keySet());
+        for (Placement p : m.placements()) {
+            bytes += p.task().job().length() + ROW;
         }
-        for (String image : m.images().keySet()) {
+        return bytes;
+    }
+
+    /** Of a row without what is in it. */
+    static int rowSize(String id, String zone) {
+        return id.length() + 50 + (zone == null ? 0 : zone.length());
+    }
+
+    static int imagesSize(Set<String> images) {
+        int bytes = 0;
+        for (String image : images) {
             bytes += imageSize(image);
         }
         return bytes;
@@ -137,8 +172,8 @@
     }
 
     /** Bytes that a part of a finished set takes at the most. */
-    static int size(String part) {
-        return part.length() + PART / 6 + 12;
+    static int size(String part, int tasks) {
+        return part.length() + Math.min(PART, tasks) / 6 + 16;
     }
 
     /** A shard's base as pages that each fit into a value. */
@@ -157,7 +192,7 @@
             bytes += size;
         }
         for (Map.Entry<String, BitSet> e : shard.parts().entrySet()) {
-            int size = size(e.getKey());
+            int size = size(e.getKey(), PART);
             if (bytes > 0 && bytes + size > pageBytes) {
                 pages.add(page);
                 page = new Contents(shard.number(), new LinkedHashMap<>(), new LinkedHashMap<>());
