Silent machines that left the cloud's list are deleted at once, which proves their work gone

A machine that is silent and not listed any more is gone; deleting it costs nothing and is the proof. FleetTest shows it, and that listed ones are left alone.

--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -253,6 +253,13 @@
                 ids.add(m.id());
             }
         }
+        for (String id : mirror.placedMachines()) {
+            Observation o = known.get(id);
+            if (!mirror.placements(id).isEmpty() && (o == null || o.silent()) && unlisted(now, id)) {
+                log.accept("machine " + id + " is silent and not listed any more: deleting it proves its work gone");
+                ids.add(id);
+            }
+        }
         ids.removeIf(deleted::contains);
         if (ids.size() > DELETE_AT_ONCE) {
             ids = ids.subList(0, DELETE_AT_ONCE);
@@ -260,6 +267,19 @@
         return ids.isEmpty() ? null : new CloudCall.Delete(List.copyOf(ids));
     }
 
+    /**
+     * Whether the cloud lists a machine no more. A wave of taken machines is told so from a network that is cut: to
+     * delete what is gone costs nothing and frees its work at once, where a new holder would wait for the whole fence.
+     * Lists are late and may be older than the one before, hence the time.
+     */
+    private boolean unlisted(long now, String id) {
+        if (listed.containsKey(id) || fresh.containsKey(id)) {
+            return false;
+        }
+        Long since = goneSince.get(id);
+        return since != null ? now - since > params.listLagMs() : now - startedAt > 4 * params.listLagMs();
+    }
+
     private final Map<String, Long> silentSince = new HashMap<>();
 
     /**
--- /dev/null
+++ b/src/test/java/garnetscale/core/fleet/FleetTest.java
@@ -0,0 +1,103 @@
+package garnetscale.core.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import garnetscale.core.Params;
+import garnetscale.core.block.Observation;
+import garnetscale.core.job.TaskId;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Placement;
+import garnetscale.core.store.LogWriter;
+import garnetscale.core.store.MachineRecord;
+import garnetscale.core.store.Mirror;
+import garnetscale.core.store.Txn;
+import garnetscale.standin.StateModel;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What the leader asks of the cloud when many machines are silent at once. */
+class FleetTest {
+
+    private static final int MACHINES = 20;
+    private static final long LAG = 3000;
+
+    private final Mirror mirror = new Mirror();
+    private final Fleet fleet = new Fleet(new Params("n0", List.of(), List.of("a"), Params.byName(List.of()), List.of(), 5000,
+        22_000, 47_000, 32, 100, 40, 16384, 6, LAG, 2500, 25), mirror, s -> { });
+
+    private FleetTest() {
+        Map<String, MachineRecord> records = new LinkedHashMap<>();
+        for (int i = 0; i < MACHINES; i++) {
+            records.put(id(i), new MachineRecord("a",
+                List.of(new Placement(new TaskId("wk-1", i), i + 1, 1, Placement.Stop.KEEP)), Map.of()));
+        }
+        mirror.reset(List.of(), 0);
+        Txn txn = new Txn();
+        new LogWriter(mirror, 16384).write(txn, records, Map.of());
+        StateModel state = new StateModel();
+        state.commit(txn);
+        mirror.advance(state.changes("", 0), state.ledger());
+        fleet.start(0, 1);
+        fleet.onTypes(List.of(new MachineType("t", 32, 0, 128, 30, 1, 1, 0.5, 40, List.of("a"))));
+    }
+
+    private static String id(int i) {
+        return "m-0000" + (10 + i);
+    }
+
+    /** A whole list with the machines from {@code first} on. */
+    private void list(long now, int first) {
+        for (int calls = 0; calls < 2 && !(fleet.next(now, List.of(), List.of()) instanceof CloudCall.Page); calls++) {
+            // The first call asks for the types.
+        }
+        List<Listed> page = new ArrayList<>();
+        for (int i = first; i < MACHINES; i++) {
+            page.add(new Listed(id(i), "", "t", "a", true, Listed.State.RUNNING, 100));
+        }
+        fleet.onPage(now, page, false);
+    }
+
+    /** The machines that the fleet wants deleted, when all of them are silent. */
+    private List<String> deletes(long now) {
+        List<Observation> silent = new ArrayList<>();
+        for (int i = 0; i < MACHINES; i++) {
+            silent.add(new Observation("n0", 1, "a/0", 1, id(i), "", "t", "a", true, 1, null, true, List.of(), List.of()));
+        }
+        List<String> ids = new ArrayList<>();
+        for (int calls = 0; calls < 4; calls++) {
+            if (fleet.next(now, silent, List.of()) instanceof CloudCall.Delete d) {
+                ids.addAll(d.machines());
+                fleet.onDeleted(d.machines());
+            }
+        }
+        return ids;
+    }
+
+    /** A wave of taken machines once cost their work a whole fence time after each change of holder. */
+    @Test
+    void silentMachinesThatLeftTheListAreDeletedAtOnce() {
+        list(1000, 0);
+        list(10_000, 8);
+        assertEquals(List.of(), deletes(10_000 + LAG - 1), "lists may be older than the one before");
+        assertEquals(8, deletes(10_000 + LAG + 1).size());
+    }
+
+    @Test
+    void manySilentMachinesThatAreListedAreRatherCutOff() {
+        list(1000, 0);
+        assertEquals(List.of(), deletes(20_000));
+    }
+
+    /** A new leader knows only its own lists, and waits until they surely are younger than its term. */
+    @Test
+    void aNewLeaderDeletesWhatItNeverSawListed() {
+        list(1000, 5);
+        assertEquals(List.of(), deletes(4 * LAG - 1));
+        assertEquals(5, deletes(4 * LAG + 1).size());
+        assertFalse(deletes(4 * LAG + 2).contains(id(0)), "once is enough");
+    }
+}
