--- a/src/test/java/garnetscale/core/sim/SimulationTest.java
+++ b/src/test/java/garnetscale/core/sim/SimulationTest.java
@@ -42,7 +42,6 @@
                 return w;
             }
         }
-        jobs.stream().filter(j -> !w.poll(j)).forEach(j -> System.out.println(j + w.debug(j)));
         jobs.stream().filter(j -> !w.poll(j)).forEach(j -> w.rules.broken.add("never over: " + j));
         return w;
     }
@@ -76,7 +75,7 @@
     @Test
     void noRuleIsBrokenWhateverFails() {
         int starts = 0;
-        for (long seed = Integer.getInteger("from", 1); seed <= SEEDS; seed++) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
             World w = day(seed, World.Fault.NONE);
             assertEquals(List.of(), w.rules.broken, "seed " + seed);
             starts += w.rules.starts;
--- a/src/test/java/garnetscale/core/sim/World.java
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -553,20 +553,6 @@
         }
     }
 
-    String debug(String id) {
-        StringBuilder sb = new StringBuilder();
-        for (Node n : nodes) {
-            sb.append("\n").append(n.name).append(" up=").append(n.up).append(" ledger=").append(n.mirror.ledger()).append("/").append(state.ledger())
-              .append(" seq=").append(n.mirror.sequence()).append(" torn=").append(n.mirror.torn()).append(" listing=").append(n.listing).append(" lease=").append(n.lease)
-              .append(" leader=").append(n.mirror.leader()).append(" nodes=").append(n.mirror.nodes());
-            var j = n.mirror.job(id);
-            if (j != null) sb.append(" fin=").append(j.finishedCount()).append(" placed=").append(j.placedCount()).append(" un=").append(j.unstarted()).append(" n=").append(j.spec());
-            for (String m : n.mirror.placedMachines()) sb.append("\n   ").append(m).append(n.mirror.placements(m));
-            if (n.leader.leadingTerm() >= 0) for (var o : n.leader.machines()) sb.append("\n  L ").append(o);
-        }
-        return sb.toString();
-    }
-
     Worker worker(String id) {
         return workers.stream().filter(w -> w.id.equals(id)).findFirst().orElseThrow();
     }
