Silent machines given up sooner; failures of one job alone don't keep a machine from bidding

Dead machines took 12 s to count as silent and 11 more to be given up; now 9.5 and 5.5 of ahdb's settings. A job that was submitted with a mistake would have kept every machine that it failed on from bidding for eight reports: now failures of two jobs without a completed task between them are needed.

--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -328,11 +328,16 @@
             JobView job = mirror.job(t.task().job());
             if (t.state() == TaskState.RUNNING) {
                 m.runningSince.putIfAbsent(t.attempt(), now);
-            } else if (t.cause() == ExitCause.ERROR && m.failed.add(t.attempt())) {
+            } else if (t.cause() == ExitCause.ERROR) {
                 // A machine that fails its tasks at once always has room and the image: its bids would be the only ones.
-                m.noBidsUntil = now + 8 * params.reportMs();
+                // Failures of one job alone say nothing: it may have been submitted with a mistake.
+                m.failedJobs.add(t.task().job());
+                if (m.failed.add(t.attempt()) && m.failedJobs.size() > 1) {
+                    m.noBidsUntil = now + 8 * params.reportMs();
+                }
             } else if (t.exited() && t.cause() == ExitCause.DONE) {
                 Long since = m.runningSince.remove(t.attempt());
+                m.failedJobs.clear();
                 if (since != null && job != null) {
                     estimator.completed(job.spec(), m.id, (now - since) / 1000.0);
                 }
@@ -422,7 +427,7 @@
     }
 
     private boolean silent(long now, MachineView m) {
-        return now - m.lastReportAt > 2 * params.reportMs() + 2000;
+        return now - m.lastReportAt > params.reportMs() * 3 / 2 + 2000;
     }
 
     /**
--- a/src/main/java/garnetscale/core/block/MachineView.java
+++ b/src/main/java/garnetscale/core/block/MachineView.java
@@ -43,8 +43,10 @@
     final Map<Long, Long> runningSince = new HashMap<>();
     /** When a direct stop was last sent for an attempt, so that it is not sent with every change. */
     final Map<Long, Long> stopsSent = new HashMap<>();
-    /** Attempts in the newest report that failed, and until when the machine doesn't bid for it. */
+    /** Attempts in the newest report that failed, the jobs of which any did since one completed, and until when the
+     * machine doesn't bid for it. */
     final Set<Long> failed = new TreeSet<>();
+    final Set<String> failedJobs = new TreeSet<>();
     long noBidsUntil = Long.MIN_VALUE;
     /** Something came of it or of its record since it was last gone over. */
     boolean dirty = true;
--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -283,7 +283,7 @@
     private final Map<String, Long> silentSince = new HashMap<>();
 
     /**
-     * Whether a silent machine is to be deleted. One with work on it is, once half its lease is over: the answer
+     * Whether a silent machine is to be deleted. One with work on it is, once a quarter of its lease is over: the answer
      * to the delete proves the work gone, which waiting would prove only later. Not when many are silent at once:
      * then it is rather the network, and they will be heard of again.
      */
@@ -291,7 +291,7 @@
         long silent = now - silentSince.computeIfAbsent(id, k -> now);
         boolean few = silentMachines <= Math.max(2, machines / 8);
         return silent > params.fenceMs() + 2 * params.leaseMs()
-            || few && !mirror.placements(id).isEmpty() && silent > params.leaseMs() / 2;
+            || few && !mirror.placements(id).isEmpty() && silent > params.leaseMs() / 4;
     }
 
     private CloudCall rent(long now, Map<String, Observation> known) {
