A job that fails everywhere is told from the machines, tried one task at a time, rented for no more

Now only tasks of jobs that succeed elsewhere count towards giving a machine back, what a suspect did is forgiven, holders learn of suspects by the book, and nothing is rented or stopped for more than one of their tasks.

--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -238,7 +238,7 @@
     private void onLink(String node) {
         leader.suspect(now(), node, false);
         if (leader.leadingTerm() >= 0) {
-            peers.send(node, new PeerMessage.Book(fleet.book(), leader.lateJobs()));
+            peers.send(node, book());
         }
         peers.send(node, heartbeat());
         LeaderInfo l = mirror.leader();
@@ -275,7 +275,7 @@
             holder.onCancelled(c.job());
             queueWork();
         } else if (m instanceof PeerMessage.Book b) {
-            holder.onBook(b.machines(), b.lateJobs());
+            holder.onBook(b.machines(), b.lateJobs(), b.suspects());
             queueWork();
         } else if (m instanceof PeerMessage.Seen s) {
             leader.onObservation(now(), s.observation());
@@ -409,12 +409,15 @@
         }
         if (state.ageMs() < 3000 && cloud.ready(now) && now - fleetAt >= FLEET_MS) {
             fleetAt = now;
-            CloudCall call = fleet.next(now, leader.machines(), leader.condemned());
+            CloudCall call = fleet.next(now, leader.machines(), leader.condemned(), leader.suspects());
             if (call != null) {
                 fleetAt = now - FLEET_MS;
                 cloud.call(now, call);
             }
         }
+        if (leader.takeSuspectNews()) {
+            tellBook();
+        }
         transact(now);
     }
 
@@ -486,10 +489,18 @@
     /** Holders learn where their machines are, so that they can take over from a dead one at once. */
     private void onListed() {
         fleet.vanished(now(), leader.machines()).forEach(leader::onMachineVanished);
-        PeerMessage.Book book = new PeerMessage.Book(fleet.book(), leader.lateJobs());
+        tellBook();
+    }
+
+    private PeerMessage.Book book() {
+        return new PeerMessage.Book(fleet.book(), leader.lateJobs(), List.copyOf(leader.suspects()));
+    }
+
+    private void tellBook() {
+        PeerMessage.Book book = book();
         if (!book.equals(lastBook)) {
             lastBook = book;
-            holder.onBook(book.machines(), book.lateJobs());
+            holder.onBook(book.machines(), book.lateJobs(), book.suspects());
             peers.sendAll(book);
             queueWork();
         }
@@ -511,6 +522,9 @@
         if (job.unstarted() == 0) {
             return null;
         }
+        if (holder.isSuspect(job.spec().id())) {
+            return "its tasks fail on every machine; they are tried ever more rarely";
+        }
         return job.unstarted() + " of " + job.spec().tasks() + " tasks wait for room";
     }
 }
--- a/src/main/java/garnetscale/core/bid/Bidding.java
+++ b/src/main/java/garnetscale/core/bid/Bidding.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What the machines of one holder bid, each for the jobs at the head of its line. Machines of one type, zone and kind
@@ -70,11 +71,14 @@
     private final Estimator estimator;
     private final Scarcity scarcity;
     private final long wallMs;
+    private final Set<String> suspects;
     private final Map<List<Object>, Kind> kinds = new HashMap<>();
     /** One bidder of each kind. */
     private final List<Bidder> samples = new ArrayList<>();
 
-    public Bidding(Mirror mirror, Estimator estimator, Scarcity scarcity, long wallMs) {
+    /** {@code suspects}: jobs that fail wherever they run, of which a task at a time is tried. */
+    public Bidding(Mirror mirror, Estimator estimator, Scarcity scarcity, long wallMs, Set<String> suspects) {
+        this.suspects = suspects;
         this.mirror = mirror;
         this.estimator = estimator;
         this.scarcity = scarcity;
@@ -103,7 +107,7 @@
                 break;
             }
             lookAt(job);
-            int tasks = job.unstarted() == 0 ? job.placedCount() : job.unstarted();
+            int tasks = suspects.contains(job.spec().id()) ? 1 : job.unstarted() == 0 ? job.placedCount() : job.unstarted();
             // Some more than can win: the leader may know what is wrong with a machine that bids.
             int wanted = tasks + tasks / 2 + 1;
             int missing = bid(job, tasks, wanted, open, count, offers, false, bids);
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -95,6 +95,8 @@
     private final Set<String> cancelledByPeers = new LinkedHashSet<>();
     /** Started jobs that the leader takes late bids for. */
     private final Set<String> late = new HashSet<>();
+    /** Jobs that fail wherever they run, by what the leader hears of all machines. */
+    private final Set<String> suspects = new HashSet<>();
     private long incarnation = -1;
     private long confirmedAt = Long.MIN_VALUE / 2;
     private BidSheet lastSheet;
@@ -265,7 +267,10 @@
     }
 
     /** The leader's list of machines and their addresses. */
-    public void onBook(List<Address> list, List<String> lateJobs) {
+    public void onBook(List<Address> list, List<String> lateJobs, List<String> suspectJobs) {
+        suspects.clear();
+        suspects.addAll(suspectJobs);
+        machines.values().forEach(this::forgive);
         late.clear();
         late.addAll(lateJobs);
         book.clear();
@@ -273,6 +278,19 @@
         sweptAt = Long.MIN_VALUE / 2;
     }
 
+    /** Takes back what was held against a machine for jobs that fail everywhere; the news comes after their failures. */
+    private void forgive(MachineView m) {
+        if (m.failedJobs.removeAll(suspects) && m.failedJobs.size() <= 1) {
+            m.noBidsUntil = Long.MIN_VALUE;
+            m.dirty = true;
+        }
+    }
+
+    /** Whether the job fails wherever it runs, as far as is known here. */
+    public boolean isSuspect(String job) {
+        return suspects.contains(job);
+    }
+
     /** A question for a report is over, answered or not. */
     public void onProbeEnded() {
         outbound.questionEnded();
@@ -357,8 +375,11 @@
             } else if (t.cause() == ExitCause.ERROR) {
                 // A machine that fails its tasks at once always has room and the image: its bids would be the only ones.
                 // Failures of one job alone say nothing: it may have been submitted with a mistake.
-                m.failedJobs.add(t.task().job());
-                if (m.failed.add(t.attempt()) && m.failedJobs.size() > 1) {
+                boolean suspect = suspects.contains(t.task().job());
+                if (!suspect) {
+                    m.failedJobs.add(t.task().job());
+                }
+                if (m.failed.add(t.attempt()) && !suspect && m.failedJobs.size() > 1) {
                     m.noBidsUntil = now + 8 * params.reportMs();
                 }
             } else if (t.exited() && t.cause() == ExitCause.DONE) {
@@ -652,7 +673,7 @@
             QuotaBook quota = QuotaBook.of(params, mirror);
             waiting.removeIf(j -> !quota.allows(j.spec()));
             scarcity.refresh(mirror.types(), waiting);
-            bids = new Bidding(mirror, estimator, scarcity, wallMs(now)).bids(waiting, bidders(now, waiting));
+            bids = new Bidding(mirror, estimator, scarcity, wallMs(now), suspects).bids(waiting, bidders(now, waiting));
         }
         BidSheet sheet = new BidSheet(params.self(), incarnation, mirror.ledger(), terms, bids);
         if (lastSheet == null || !lastSheet.bids().equals(bids) || !lastSheet.terms().equals(terms)
--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -113,8 +113,8 @@
         return Math.round(1200 / params.cloudRps());
     }
 
-    /** The next call to make, or null; {@code condemned} are empty machines that are of no use. */
-    public CloudCall next(long now, Collection<Observation> reporting, List<String> condemned) {
+    /** The next call to make, or null; {@code condemned} are empty machines that are of no use, {@code suspects} jobs that fail wherever they run. */
+    public CloudCall next(long now, Collection<Observation> reporting, List<String> condemned, Set<String> suspects) {
         if (!urgent.isEmpty()) {
             return urgent.poll();
         }
@@ -136,14 +136,14 @@
         CloudCall call = null;
         // In turns: a wave of lost machines brings deletes for half a minute, and what replaces them can't wait so long.
         if (deletedLast) {
-            call = rent(now, known, supply);
+            call = rent(now, known, supply, suspects);
         }
         if (call == null) {
             call = condemned.isEmpty() ? delete(now, known)
                 : new CloudCall.Delete(List.copyOf(condemned.subList(0, Math.min(condemned.size(), DELETE_AT_ONCE))));
         }
         if (call == null && !deletedLast) {
-            call = rent(now, known, supply);
+            call = rent(now, known, supply, suspects);
         }
         deletedLast = call instanceof CloudCall.Delete;
         return call != null || supply.isEmpty() ? call : giveBack(now, supply, known);
@@ -314,7 +314,7 @@
     }
 
     /** What to rent next, or null; {@code supply} is filled with what there is and what the demand uses of it. */
-    private CloudCall rent(long now, Map<String, Observation> known, List<Supply> supply) {
+    private CloudCall rent(long now, Map<String, Observation> known, List<Supply> supply, Set<String> suspects) {
         silentSince.keySet().removeIf(id -> known.get(id) != null && !known.get(id).silent());
         if (mirror.types().isEmpty()) {
             return null;
@@ -326,7 +326,8 @@
         Map<Offer, Integer> wanted = new LinkedHashMap<>();
         for (JobView job : Line.sort(mirror.jobs(), order, now + wallOffset)) {
             int tasks = 0;
-            while (tasks < job.unstarted() && quota.allows(job.spec())) {
+            int most = suspects.contains(job.spec().id()) ? Math.min(1, job.unstarted()) : job.unstarted();
+            while (tasks < most && quota.allows(job.spec())) {
                 quota.add(job.spec(), 1);
                 tasks++;
             }
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -20,7 +20,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 
 /**
  * Gives waiting tasks to the best bids, jobs in line order. Every restriction is checked again here against the
@@ -56,7 +55,7 @@
     }
 
     /** Adds awards to the draft; returns how many. */
-    int award(long now, long wallMs, Draft draft, Predicate<JobView> ready, LongSupplier attempts) {
+    int award(long now, long wallMs, Draft draft, Failures failures, LongSupplier attempts) {
         int awarded = 0;
         reserve.observe(mirror.jobs());
         double free = 0;
@@ -72,10 +71,11 @@
         List<JobView> waiting = Line.sort(mirror.jobs(), order, wallMs);
         for (JobView job : waiting) {
             boolean reserved = free - job.spec().cpus() < kept && reserve.binds(job, wallMs);
-            if (!ready.test(job) || !auction.closed(now, job) || reserved || !draft.quota().allows(job.spec())) {
+            int may = failures.mayPlace(now, job.spec().id(), job.placedCount());
+            if (may == 0 || !auction.closed(now, job) || reserved || !draft.quota().allows(job.spec())) {
                 continue;
             }
-            int next = job.nextUnstarted(0);
+            int next = next(now, job, 0, failures);
             for (Candidate c : ranked(now, job.spec())) {
                 if (next < 0 || !draft.quota().allows(job.spec())) {
                     break;
@@ -101,13 +101,22 @@
                         zones(draft, job).add(m.last.zone());
                     }
                     awarded++;
-                    next = job.nextUnstarted(next + 1);
+                    next = --may > 0 ? next(now, job, next + 1, failures) : -1;
                 }
             }
         }
         return awarded;
     }
 
+    /** The first task from there on that isn't started and may be, or -1. */
+    private static int next(long now, JobView job, int from, Failures failures) {
+        int next = job.nextUnstarted(from);
+        while (next >= 0 && !failures.mayStart(now, new TaskId(job.spec().id(), next))) {
+            next = job.nextUnstarted(next + 1);
+        }
+        return next;
+    }
+
     private record Candidate(MachineState machine, Bid bid) {
     }
 
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -48,7 +48,7 @@
 
     /** A machine this many times slower than its peers is given back. */
     private static final double SLOW = 2.2;
-    /** Failures in a row, over several jobs, after which a machine is given back. */
+    /** Tasks of jobs that succeed elsewhere that fail on a machine in a row before it is given back. */
     private static final int SICK = 4;
 
     /** Jobs at the head that others are stopped for at a time: where they find nobody, those behind won't either. */
@@ -83,6 +83,7 @@
     private final Set<String> dead = new HashSet<>();
     private final Map<String, Long> nodeSince = new HashMap<>();
     private final Failures failures = new Failures();
+    private boolean suspectNews;
     /** Nodes that this one can't speak with, since when; only a reason to act sooner, never a proof. */
     private final Map<String, Long> suspects = new HashMap<>();
     /** When a block was last moved because none of its machines was heard of. */
@@ -282,7 +283,7 @@
         int perMachine = Math.max(8, params.valueBytes() / 64);
         int before = sequence;
         new Awards(mirror, auction, machines, perMachine, order, reserve, rooms).award(now, now + wallOffset, draft,
-            job -> failures.mayStart(now, job.spec().id()), () -> Terms.attempt(acting.term(), ++sequence));
+            failures, () -> Terms.attempt(acting.term(), ++sequence));
         if (now - judgedAt >= params.reportMs() / 2) {
             judgedAt = now;
             forgetSilent(now);
@@ -413,7 +414,7 @@
         Preemption preemption = null;
         for (JobView job : Line.sort(mirror.jobs(), order, now + wallOffset)) {
             if (!reserve.isTight(job) || !auction.closed(now, job) && !auction.bids(job.spec().id()).isEmpty()
-                || !failures.mayStart(now, job.spec().id()) || !draft.quota().allows(job.spec())) {
+                || failures.isSuspect(job.spec().id()) || !draft.quota().allows(job.spec())) {
                 continue;
             }
             if (looked++ >= PREEMPTED_FOR) {
@@ -485,6 +486,7 @@
             draft.forget(machine);
         }
         stoppedOnce.removeIf(t -> mirror.job(t.job()) == null);
+        failures.retain(job -> mirror.job(job) != null);
     }
 
     private static List<Exit> oldestFirst(Long2ObjectHashMap<Exit> exits) {
@@ -513,9 +515,10 @@
         }
         MachineState m = machines.get(machine);
         if (t.cause() == ExitCause.DONE) {
-            failures.completed(p.task().job());
+            failures.completed(p.task());
             if (m != null) {
-                m.failures = 0;
+                m.failed.clear();
+                m.avoided = 0;
             }
             return;
         }
@@ -525,13 +528,18 @@
         }
         switch (t.cause()) {
             case ERROR, UNKNOWN_TASK -> {
-                boolean jobsFault = failures.failed(now, p.task().job(), machine);
-                if (!jobsFault) {
-                    m.failures++;
-                    m.avoidUntil = now + Math.min(32, 1L << m.failures) * params.reportMs();
-                    if (m.failures >= SICK) {
-                        condemn(m, "fails its tasks");
-                    }
+                JobView job = mirror.job(p.task().job());
+                if (job != null && job.finishedCount() > 0) {
+                    failures.sound(p.task().job());
+                }
+                boolean known = failures.isSuspect(p.task());
+                if (!failures.failed(now, p.task(), machine)) {
+                    blame(now, m, p.task());
+                } else if (!known) {
+                    log.accept("job " + p.task().job() + " fails wherever it runs, at last " + p.task() + " on " + machine
+                        + ": it is tried rarely from now on");
+                    machines.values().forEach(this::forgive);
+                    suspectNews = true;
                 }
             }
             case NO_ROOM, BUSY, OTHER -> m.avoidUntil = Math.max(m.avoidUntil, now + params.reportMs());
@@ -539,6 +547,42 @@
         }
     }
 
+    /**
+     * A task failed that may be sound: the machine is avoided, longer each time that it fails after a pause, and given back
+     * once several tasks failed of jobs that succeed elsewhere. A job that has completed nothing yet has no say in that:
+     * hundreds of tasks of a bad submission fail before it is known for one.
+     */
+    private void blame(long now, MachineState m, TaskId task) {
+        m.failed.add(task);
+        if (now >= m.avoidUntil) {
+            m.avoided++;
+            m.avoidUntil = now + Math.min(32, 1L << m.avoided) * params.reportMs();
+        }
+        if (m.failed.stream().filter(t -> failures.isSound(t.job())).count() >= SICK) {
+            condemn(m, "fails its tasks");
+        }
+    }
+
+    /** Takes back what was held against a machine for tasks that turn out to fail by themselves. */
+    private void forgive(MachineState m) {
+        if (m.failed.removeIf(failures::isSuspect) && m.failed.isEmpty()) {
+            m.avoided = 0;
+            m.avoidUntil = Long.MIN_VALUE;
+        }
+    }
+
+    /** Whether there are new ones among the jobs that fail wherever they run since this was last asked. */
+    public boolean takeSuspectNews() {
+        boolean news = suspectNews;
+        suspectNews = false;
+        return news;
+    }
+
+    /** Jobs that fail wherever they run: no machine is rented, stopped for or kept from bidding on their account. */
+    public Set<String> suspects() {
+        return failures.suspects();
+    }
+
     /** Leases blocks whose holder is gone, and moves a block home when its zone has an idle controller again. */
     private Txn leaseBlocks(long now) {
         nodeSince.keySet().removeIf(n -> mirror.nodes().stream().noneMatch(i -> key(i).equals(n)));
--- a/src/main/java/garnetscale/core/lead/MachineState.java
+++ b/src/main/java/garnetscale/core/lead/MachineState.java
@@ -2,6 +2,7 @@
 
 import garnetscale.core.bid.Estimator;
 import garnetscale.core.block.Observation;
+import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.ReportedTask;
 import garnetscale.core.machine.TaskState;
@@ -22,8 +23,10 @@
     final Map<Long, Long> runningSince = new HashMap<>();
     /** No awards before this time: the machine refused or failed tasks. */
     long avoidUntil = Long.MIN_VALUE;
-    /** Failures in a row, without a completed task between them. */
-    int failures;
+    /** Tasks that failed here without one completing between them, as far as it isn't their own fault. */
+    final Set<TaskId> failed = new HashSet<>();
+    /** How often it was avoided for that in a row. */
+    int avoided;
     /** To be given back as soon as nothing is on it: it fails or is slow. */
     boolean condemned;
 
--- a/src/main/java/garnetscale/peer/PeerCodec.java
+++ b/src/main/java/garnetscale/peer/PeerCodec.java
@@ -58,7 +58,7 @@
         } else if (message instanceof PeerMessage.Book b) {
             List<GenericRecord> rows = new ArrayList<>();
             b.machines().forEach(a -> rows.add(record("Address", a.machine(), a.address(), a.zone())));
-            r = record("Book", rows, b.lateJobs());
+            r = record("Book", rows, b.lateJobs(), b.suspects());
         } else if (message instanceof PeerMessage.Cancelled c) {
             r = record("Cancelled", c.job());
         } else if (message instanceof PeerMessage.Bids b) {
@@ -111,7 +111,7 @@
             return switch (r.getSchema().getName()) {
                 case "Heartbeat" -> new PeerMessage.Heartbeat(text(r, "node"), whole(r, "incarnation"),
                     whole(r, "leaderTerm"), whole(r, "stateAgeMs"));
-                case "Book" -> new PeerMessage.Book(book(r), texts((List<?>) r.get("late")));
+                case "Book" -> new PeerMessage.Book(book(r), texts((List<?>) r.get("late")), texts((List<?>) r.get("suspects")));
                 case "Cancelled" -> new PeerMessage.Cancelled(text(r, "job"));
                 case "Observation" -> new PeerMessage.Seen(observation(r));
                 case "BidSheet" -> new PeerMessage.Bids(sheet(r));
--- a/src/main/java/garnetscale/peer/PeerMessage.java
+++ b/src/main/java/garnetscale/peer/PeerMessage.java
@@ -17,8 +17,8 @@
     record Heartbeat(String node, long incarnation, long leaderTerm, long stateAgeMs) implements PeerMessage {
     }
 
-    /** The leader's list of machines, and the started jobs that it takes late bids for. */
-    record Book(List<Address> machines, List<String> lateJobs) implements PeerMessage {
+    /** The leader's list of machines, the started jobs that it takes late bids for, and those that fail wherever they run. */
+    record Book(List<Address> machines, List<String> lateJobs, List<String> suspects) implements PeerMessage {
     }
 
     /** A user's cancellation that the sender has stored. */
--- a/src/test/java/garnetscale/core/bid/BiddingTest.java
+++ b/src/test/java/garnetscale/core/bid/BiddingTest.java
@@ -17,6 +17,7 @@
 import garnetscale.core.store.Records;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** What a holder's machines offer when more waits than they have room for. */
@@ -45,7 +46,7 @@
         mirror.reset(jobs, 1);
         Scarcity scarcity = new Scarcity(new Params("n0", List.of(), List.of("a"), Params.byName(List.of()), List.of(), 1000,
             10_000, 40_000, 24, 150, 60, 16384, 1.5, 10_000, 600, 25));
-        return new Bidding(mirror, new Estimator(1000), scarcity, 0).bids(List.copyOf(mirror.jobs()), bidders);
+        return new Bidding(mirror, new Estimator(1000), scarcity, 0, Set.of()).bids(List.copyOf(mirror.jobs()), bidders);
     }
 
     /** Many jobs of which the small machines are full once ended the sheet before the large ones had bid at all. */
--- a/src/test/java/garnetscale/core/fleet/FleetTest.java
+++ b/src/test/java/garnetscale/core/fleet/FleetTest.java
@@ -25,6 +25,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** What the leader asks of the cloud when many machines are silent at once. */
@@ -71,7 +72,7 @@
 
     /** A whole list with the machines from {@code first} on. */
     private void list(long now, int first) {
-        for (int calls = 0; calls < 2 && !(fleet.next(now, List.of(), List.of()) instanceof CloudCall.Page); calls++) {
+        for (int calls = 0; calls < 2 && !(fleet.next(now, List.of(), List.of(), Set.of()) instanceof CloudCall.Page); calls++) {
             // The first call asks for the types.
         }
         List<Listed> page = new ArrayList<>();
@@ -89,7 +90,7 @@
         }
         List<String> ids = new ArrayList<>();
         for (int calls = 0; calls < 4; calls++) {
-            if (fleet.next(now, silent, List.of()) instanceof CloudCall.Delete d) {
+            if (fleet.next(now, silent, List.of(), Set.of()) instanceof CloudCall.Delete d) {
                 ids.addAll(d.machines());
                 fleet.onDeleted(d.machines());
             }
@@ -150,7 +151,7 @@
 
     /** The next call that changes something. */
     private CloudCall change(long now) {
-        CloudCall call = fleet.next(now, List.of(), List.of());
-        return call instanceof CloudCall.Page || call instanceof CloudCall.Types ? fleet.next(now, List.of(), List.of()) : call;
+        CloudCall call = fleet.next(now, List.of(), List.of(), Set.of());
+        return call instanceof CloudCall.Page || call instanceof CloudCall.Types ? fleet.next(now, List.of(), List.of(), Set.of()) : call;
     }
 }
--- a/src/test/java/garnetscale/core/sim/World.java
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -352,7 +352,7 @@
                 if (leader.leadingTerm() >= 0) {
                     List<Address> book = workers.stream()
                         .map(w -> new Address(w.id, w.id, w.model.report().zone())).toList();
-                    peers(n -> n.holder.onBook(book, leader.lateJobs()));
+                    peers(n -> n.holder.onBook(book, leader.lateJobs(), List.copyOf(leader.suspects())));
                 }
             });
         }
--- a/src/test/java/garnetscale/core/trace/TraceRunner.java
+++ b/src/test/java/garnetscale/core/trace/TraceRunner.java
@@ -147,7 +147,7 @@
                 effects(nodes.get(w[1]), false);
             }
             case "slow" -> workers.get(w[1]).slowDown(Double.parseDouble(w[2]));
-            case "book" -> nodes.get(w[1]).holder.onBook(List.of(), nodes.get(w[1]).leader.lateJobs());
+            case "book" -> nodes.get(w[1]).holder.onBook(List.of(), nodes.get(w[1]).leader.lateJobs(), List.copyOf(nodes.get(w[1]).leader.suspects()));
             case "deaf" -> deaf.add(w[1]);
             case "hears" -> deaf.remove(w[1]);
             case "copy" -> copy(copies.get(w[1]), nodes.get(w[2]));
