A controller that no worker reaches gives up its blocks; a standstill makes up for no missed beats

Cause: a cut from the workers alone was noticed when the last of a block's machines had been silent for one and a half reports and 2 s, 9.5 s where reports come every 5, and the block went back to the cut node after eight state leases. After a standstill the overdue timers fired in a burst, and a node that had stood still took all its peers for dead.

--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -79,6 +79,8 @@
     private final HttpClient workers;
     private final HttpServer server;
     private final Map<String, Peer> heard = new HashMap<>();
+    private long beatAt;
+    private boolean deaf;
     private boolean workQueued;
     private boolean electing;
     private long ledTerm = -1;
@@ -126,8 +128,10 @@
                     peers.connect(m.name(), m.address());
                 }
             }
-            loop.next().scheduleAtFixedRate(this::work, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-            loop.next().scheduleAtFixedRate(this::beat, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+            beatAt = now();
+            // With a fixed delay: after a standstill a fixed rate would make up for every beat that it missed.
+            loop.next().scheduleWithFixedDelay(this::work, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+            loop.next().scheduleWithFixedDelay(this::beat, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -249,10 +253,17 @@
     }
 
     private PeerMessage.Heartbeat heartbeat() {
-        return new PeerMessage.Heartbeat(params.self(), lease, leader.leadingTerm(), state.ageMs());
+        return new PeerMessage.Heartbeat(params.self(), lease, leader.leadingTerm(), state.ageMs(), holder.deaf());
     }
 
     private void beat() {
+        long now = now();
+        if (now - beatAt > 2 * HEARTBEAT_MS) {
+            // It is this process that stood still: its peers' signs of life are still to be read.
+            LOG.info("this process stood still for {} ms", now - beatAt - HEARTBEAT_MS);
+            heard.replaceAll((node, peer) -> new Peer(peer.last(), now));
+        }
+        beatAt = now;
         heard.forEach((node, peer) -> {
             if (now() - peer.at() > 4 * HEARTBEAT_MS) {
                 leader.suspect(now(), node, true);
@@ -267,6 +278,7 @@
             if (before == null || now() - before.at() < 2 * HEARTBEAT_MS) {
                 leader.suspect(now(), h.node(), false);
             }
+            leader.hears(h.node(), h.deaf());
             if (h.leaderTerm() >= 0 && (before == null || before.last().leaderTerm() != h.leaderTerm())) {
                 holder.retell(now());
                 queueWork();
@@ -317,6 +329,12 @@
             leader.wallClock(System.currentTimeMillis() - now);
             holder.tick(now);
             holder.drain().forEach(this::carryOut);
+            if (holder.deaf() != deaf) {
+                deaf = holder.deaf();
+                LOG.info(deaf ? "no worker reaches this node: it gives up its blocks" : "workers reach this node again");
+                leader.hears(params.self(), deaf);
+                peers.sendAll(heartbeat());
+            }
             lead(now);
         } catch (RuntimeException e) {
             LOG.error("work failed", e);
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -93,8 +93,8 @@
     void start() {
         acquire();
         list();
-        loop.scheduleAtFixedRate(this::renew, params.nodeTtlMs() / 4, params.nodeTtlMs() / 4, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(() -> sync(ok -> { }), CONFIRM_MS, CONFIRM_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::renew, params.nodeTtlMs() / 4, params.nodeTtlMs() / 4, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> sync(ok -> { }), CONFIRM_MS, CONFIRM_MS, TimeUnit.MILLISECONDS);
     }
 
     /** How old the newest request is that the service answered. */
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -102,6 +102,7 @@
     private BidSheet lastSheet;
     private final Rooms rooms;
     private final Outbound outbound;
+    private final Hearing hearing;
     private long sweptAt = Long.MIN_VALUE / 2;
     private long offeredAt = Long.MIN_VALUE / 2;
     private boolean offerDue = true;
@@ -116,6 +117,7 @@
         this.scarcity = new Scarcity(params);
         this.rooms = new Rooms(mirror);
         this.outbound = new Outbound(params.directAtOnce());
+        this.hearing = new Hearing(params);
     }
 
     public List<Effect> drain() {
@@ -167,6 +169,7 @@
     }
 
     public Reply onReport(long now, Report r) {
+        hearing.heard(now);
         refreshBlocks(now);
         String block = blocks.blockOf(r.machine(), r.zone());
         Held mine = held.get(block);
@@ -206,6 +209,7 @@
 
     /** A direct command was answered, with 200 or 409, by the worker's report. */
     public void onCommandAnswer(long now, String machine, long token, Report r) {
+        hearing.heard(now);
         outbound.commandEnded();
         MachineView m = machines.get(machine);
         if (m == null || !m.commandInFlight) {
@@ -298,6 +302,7 @@
 
     /** A worker answered the question for its report; this doesn't renew its lease. */
     public void onProbeAnswer(long now, Report r) {
+        hearing.heard(now);
         String block = blocks.blockOf(r.machine(), r.zone());
         Held mine = held.get(block);
         if (mine == null || Terms.blockTermOf(r.token()) > mine.term()) {
@@ -503,6 +508,7 @@
             probe(now);
         }
         sendQuestions(now);
+        listen(now);
         for (MachineView m : machines.values()) {
             if (m.dirty || sweep && (m.restless || silent(now, m))) {
                 goOver(now, m, held.get(m.block));
@@ -511,6 +517,24 @@
         offer(now);
     }
 
+    /** Finds out whether the workers are out of reach, and when they are back. */
+    private void listen(long now) {
+        int due = 0;
+        for (MachineView m : machines.values()) {
+            due += m.last != null && m.oursAt >= 0 && !silent(now, m) ? 1 : 0;
+        }
+        hearing.lookAt(now, due, held.keySet());
+        for (String id : hearing.toAsk(now, book.keySet(), id -> blocks.blockOf(id, book.get(id).zone()))) {
+            effects.add(new Effect.Probe(id, book.get(id).address()));
+            outbound.askAside();
+        }
+    }
+
+    /** Whether no worker can reach this node, as far as it can tell; its blocks are better off elsewhere. */
+    public boolean deaf() {
+        return hearing.deaf();
+    }
+
     private void goOver(long now, MachineView m, Held mine) {
         offerDue |= m.dirty;
         m.dirty = false;
@@ -706,7 +730,7 @@
         for (MachineView m : machines.values()) {
             Report r = m.last;
             MachineType type = r == null ? null : mirror.type(r.type());
-            if (type == null || !m.answers || m.unreachable() || silent(now, m) || r.shift() <= m.lapsedShift || r.noticeS() != null
+            if (type == null || hearing.deaf() || !m.answers || m.unreachable() || silent(now, m) || r.shift() <= m.lapsedShift || r.noticeS() != null
                 || now < m.noBidsUntil) {
                 continue;
             }
--- a/src/main/java/garnetscale/core/block/Outbound.java
+++ b/src/main/java/garnetscale/core/block/Outbound.java
@@ -45,6 +45,11 @@
         }
     }
 
+    /** A question is under way beside those that wait; there are few of them. */
+    void askAside() {
+        questions++;
+    }
+
     void questionEnded() {
         questions--;
     }
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -86,6 +86,8 @@
     private boolean suspectNews;
     /** Nodes that this one can't speak with, since when; only a reason to act sooner, never a proof. */
     private final Map<String, Long> suspects = new HashMap<>();
+    /** Nodes that say that no worker reaches them. */
+    private final Set<String> deafNodes = new HashSet<>();
     /** When a block was last moved because none of its machines was heard of. */
     private final Map<String, Long> movedAt = new HashMap<>();
     private long notBefore = Long.MIN_VALUE;
@@ -163,6 +165,13 @@
         }
     }
 
+    /** A node says whether workers reach it. */
+    public void hears(String node, boolean deaf) {
+        if (deaf ? deafNodes.add(node) : deafNodes.remove(node)) {
+            log.accept("node " + node + (deaf ? " hears no worker" : " hears workers again"));
+        }
+    }
+
     /** A leader that no machine is heard of under, although there are some, makes room for one that may do better. */
     public Txn resignation(long now) {
         long patience = 2 * params.nodeTtlMs() + 4 * params.reportMs();
@@ -592,7 +601,7 @@
         List<String> orphans = new ArrayList<>();
         for (String block : blocks.all()) {
             BlockLease lease = mirror.block(block);
-            if (lease != null && alive(lease) && isDeaf(now, block)) {
+            if (lease != null && alive(lease) && (isDeaf(now, block) || isDeaf(lease.holder()))) {
                 movedAt.put(block, now);
                 deafHolder.put(block, lease.holder());
                 orphans.add(block);
@@ -612,7 +621,7 @@
         for (String block : orphans) {
             NodeInfo best = null;
             for (NodeInfo n : mirror.nodes()) {
-                if (suspects.containsKey(n.name()) || n.name().equals(deafHolder.get(block))) {
+                if (suspects.containsKey(n.name()) || n.name().equals(deafHolder.get(block)) || isDeaf(n.name())) {
                     continue;
                 }
                 if (best == null || cost(n, block, load) < cost(best, block, load)) {
@@ -629,6 +638,12 @@
         return txn.ops().isEmpty() ? null : txn;
     }
 
+    /** A holder that says so itself is believed at once, as long as another one may do better. */
+    private boolean isDeaf(String node) {
+        return deafNodes.contains(node)
+            && mirror.nodes().stream().anyMatch(n -> !deafNodes.contains(n.name()) && !suspects.containsKey(n.name()));
+    }
+
     /**
      * Whether the holder hears none of the block's machines, which are several: it may be cut off from the workers
      * while the state service and its peers still reach it.
@@ -649,7 +664,7 @@
 
     private String blockToMove(long now, Multiset<String> load) {
         for (NodeInfo n : mirror.nodes()) {
-            if (load.contains(n.name()) || suspects.containsKey(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
+            if (load.contains(n.name()) || suspects.containsKey(n.name()) || deafNodes.contains(n.name()) || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
                 || now - actingSince < 2 * params.nodeTtlMs()) {
                 continue;
             }
--- a/src/main/java/garnetscale/peer/PeerCodec.java
+++ b/src/main/java/garnetscale/peer/PeerCodec.java
@@ -52,7 +52,7 @@
     public byte[] encode(PeerMessage message) {
         GenericRecord r;
         if (message instanceof PeerMessage.Heartbeat h) {
-            r = record("Heartbeat", h.node(), h.incarnation(), h.leaderTerm(), h.stateAgeMs());
+            r = record("Heartbeat", h.node(), h.incarnation(), h.leaderTerm(), h.stateAgeMs(), h.deaf());
         } else if (message instanceof PeerMessage.Seen s) {
             r = seen(s.observation());
         } else if (message instanceof PeerMessage.Book b) {
@@ -110,7 +110,7 @@
             GenericRecord r = reader.read(null, decoder);
             return switch (r.getSchema().getName()) {
                 case "Heartbeat" -> new PeerMessage.Heartbeat(text(r, "node"), whole(r, "incarnation"),
-                    whole(r, "leaderTerm"), whole(r, "stateAgeMs"));
+                    whole(r, "leaderTerm"), whole(r, "stateAgeMs"), (boolean) r.get("deaf"));
                 case "Book" -> new PeerMessage.Book(book(r), texts((List<?>) r.get("late")), texts((List<?>) r.get("suspects")));
                 case "Cancelled" -> new PeerMessage.Cancelled(text(r, "job"));
                 case "Observation" -> new PeerMessage.Seen(observation(r));
--- a/src/main/java/garnetscale/peer/PeerMessage.java
+++ b/src/main/java/garnetscale/peer/PeerMessage.java
@@ -13,8 +13,9 @@
      *
      * @param leaderTerm the term that the sender leads under, or -1
      * @param stateAgeMs how long ago the sender sent its last request that the state service answered
+     * @param deaf       whether no worker reaches the sender
      */
-    record Heartbeat(String node, long incarnation, long leaderTerm, long stateAgeMs) implements PeerMessage {
+    record Heartbeat(String node, long incarnation, long leaderTerm, long stateAgeMs, boolean deaf) implements PeerMessage {
     }
 
     /** The leader's list of machines, the started jobs that it takes late bids for, and those that fail wherever they run. */
--- a/src/test/java/garnetscale/peer/PeerCodecTest.java
+++ b/src/test/java/garnetscale/peer/PeerCodecTest.java
@@ -21,7 +21,7 @@
 class PeerCodecTest {
 
     private static final List<PeerMessage> MESSAGES = List.of(
-        new PeerMessage.Heartbeat("hive-0", 4, -1, 250),
+        new PeerMessage.Heartbeat("hive-0", 4, -1, 250, true),
         new PeerMessage.Cancelled("wk-000412"),
         new PeerMessage.Book(List.of(new Address("m-000231", "10.1.0.232:9000", "a")), List.of("wk-000412"), List.of("wk-000413")),
         new PeerMessage.Seen(new Observation("hive-0", 4, "a/0", 1048577, "m-000231", "10.1.0.232:9000", "g8", "a", true,
