--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -81,8 +81,8 @@
         this.watches = new Budget(node * WATCHES, node * WATCHES, now);
         this.reads = new Budget(node * READS, node * READS, now);
         this.writes = new Budget(params.stateWritesPerS() * WRITES * 0.75, params.stateWritesPerS() * WRITES * 0.6, now);
-        this.submissions = new Budget(params.stateWritesPerS() * WRITES * 0.25 / params.members().size() + 1,
-            params.stateWritesPerS() * WRITES * 0.4 / params.members().size() + 1, now);
+        this.submissions = new Budget(0, 0, now);
+        shareSubmissions(params.members().size());
         this.confirmedAt = now - 1_000_000;
     }
 
@@ -392,8 +392,15 @@
         send(txn, done);
     }
 
+    /** Users come to the nodes that are left, and with them the part of the limit that the others have no use for. */
+    private void shareSubmissions(int nodes) {
+        double each = params.stateWritesPerS() * WRITES / Math.max(1, nodes);
+        submissions.resize(each * 0.25 + 1, each * 0.4 + 1);
+    }
+
     /** A user's transaction; refused at once when the limits are used up. */
     void submit(Txn txn, BiConsumer<TxnResult, Long> done) {
+        shareSubmissions(mirror.nodes().size());
         if (!submissions.take(now(), txn.ops().size())) {
             done.accept(TxnResult.REFUSED, -1L);
             return;
--- a/src/main/java/garnetscale/net/Budget.java
+++ b/src/main/java/garnetscale/net/Budget.java
@@ -3,8 +3,8 @@
 /** A token bucket: so many a second, and so many saved up at most. */
 public final class Budget {
 
-    private final double perS;
-    private final double most;
+    private double perS;
+    private double most;
     private double tokens;
     private long last;
 
@@ -15,6 +15,13 @@
         this.last = now;
     }
 
+    /** Changes the rate and what may be saved up, as when the limit is shared among fewer. */
+    public void resize(double newPerS, double newMost) {
+        perS = newPerS;
+        most = newMost;
+        tokens = Math.min(tokens, most);
+    }
+
     /** Takes so many tokens, or none if they aren't there. More than it can ever hold passes when it is full. */
     public boolean take(long now, double count) {
         refill(now);
