--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -81,8 +81,7 @@
         this.watches = new Budget(node * WATCHES, node * WATCHES, now);
         this.reads = new Budget(node * READS, node * READS, now);
         this.writes = new Budget(params.stateWritesPerS() * WRITES * 0.75, params.stateWritesPerS() * WRITES * 0.6, now);
-        this.submissions = new Budget(0, 0, now);
-        shareSubmissions(params.members().size());
+        this.submissions = new Budget(1, 1, now);
         this.confirmedAt = now - 1_000_000;
     }
 
