Questions about jobs that aren't alive are put as one; the leader tells of ends

A transaction without changes compares a hundred keys at a time, questions about one job share an answer, and a committed end is told to all nodes.

--- /dev/null
+++ b/src/main/java/garnetscale/app/Archive.java
@@ -0,0 +1,144 @@
+package garnetscale.app;
+
+import garnetscale.core.Params;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Records;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/**
+ * What is known of jobs that are over, and the questions about those that the mirror doesn't hold. Users ask about jobs that
+ * nobody has submitted, too, and each such question would cost a request: so many questions are put as one, by comparing
+ * all their keys with "isn't there" in a transaction that changes nothing. Only what is there is read by itself.
+ */
+final class Archive {
+
+    private static final int CACHED = 4096;
+    /** Conditions that a transaction may have, in multiples of its changes. */
+    private static final int CONDITIONS = 4;
+    /** Questions that may wait, in multiples of what one request takes; more than that are refused at once. */
+    private static final int REQUESTS = 2;
+
+    private interface Asker extends BiConsumer<Boolean, Records.Archived> {
+    }
+
+    private record Question(String id, List<Asker> askers) {
+        void answer(boolean sure, Records.Archived archived) {
+            askers.forEach(a -> a.accept(sure, archived));
+        }
+    }
+
+    private final StateLink state;
+    private final int atOnce;
+    private final Map<String, Question> waiting = new LinkedHashMap<>();
+    /** Found to be there, and still to be read. */
+    private final Deque<Question> there = new ArrayDeque<>();
+    private boolean busy;
+    /** Jobs that are over; their state never changes again. */
+    private final Map<String, Records.Archived> over = new LinkedHashMap<>(64, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Records.Archived> eldest) {
+            return size() > CACHED;
+        }
+    };
+
+    Archive(Params params, StateLink state) {
+        this.state = state;
+        this.atOnce = CONDITIONS * params.txnOps();
+    }
+
+    /** How the job ended, if that is known here. */
+    Records.Archived known(String id) {
+        return over.get(id);
+    }
+
+    /** The job is over, by a transaction that is known to be applied. */
+    void learn(String id, Records.Archived archived) {
+        over.put(id, archived);
+    }
+
+    /** Calls back with how the job ended, or null when it isn't over; false when nobody can tell. */
+    void ask(String id, BiConsumer<Boolean, Records.Archived> answer) {
+        Records.Archived known = over.get(id);
+        if (known != null) {
+            answer.accept(true, known);
+            return;
+        }
+        if (!waiting.containsKey(id) && waiting.size() + there.size() >= REQUESTS * atOnce) {
+            answer.accept(false, null);
+            return;
+        }
+        waiting.computeIfAbsent(id, k -> new Question(k, new ArrayList<>())).askers().add(answer::accept);
+        next();
+    }
+
+    private void next() {
+        if (busy || waiting.isEmpty() && there.isEmpty()) {
+            return;
+        }
+        busy = true;
+        state.whenReadable(() -> {
+            if (!there.isEmpty()) {
+                read(there.poll());
+            } else if (waiting.size() == 1) {
+                read(take().get(0));
+            } else {
+                compare(take());
+            }
+        });
+    }
+
+    /** Takes questions out of the queue: one that comes from now on wants an answer of its own. */
+    private List<Question> take() {
+        List<Question> batch = new ArrayList<>();
+        Iterator<Question> i = waiting.values().iterator();
+        while (i.hasNext() && batch.size() < atOnce) {
+            batch.add(i.next());
+            i.remove();
+        }
+        return batch;
+    }
+
+    private void done() {
+        busy = false;
+        next();
+    }
+
+    private void read(Question q) {
+        state.get(Keys.archived(q.id()), (sure, value) -> {
+            Records.Archived archived = value == null ? null : Records.archived(value);
+            if (archived != null) {
+                over.put(q.id(), archived);
+            }
+            q.answer(sure, archived);
+            done();
+        });
+    }
+
+    private void compare(List<Question> batch) {
+        state.present(batch.stream().map(q -> Keys.archived(q.id())).toList(), present -> {
+            for (Question q : batch) {
+                if (present == null) {
+                    q.answer(false, null);
+                } else if (present.isEmpty()) {
+                    q.answer(true, null);
+                } else if (present.contains(Keys.archived(q.id()))) {
+                    there.add(q);
+                } else {
+                    // The answer needn't name all that failed: asked again without those that it did name.
+                    waiting.merge(q.id(), q, (newer, old) -> {
+                        old.askers().addAll(newer.askers());
+                        return old;
+                    });
+                }
+            }
+            done();
+        });
+    }
+}
--- a/src/main/java/garnetscale/app/Front.java
+++ b/src/main/java/garnetscale/app/Front.java
@@ -14,7 +14,6 @@
 import garnetscale.wire.Cbor;
 import garnetscale.wire.UserCodec;
 import java.io.IOException;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -28,7 +27,6 @@
 final class Front {
 
     private static final Logger LOG = LoggerFactory.getLogger(Front.class);
-    private static final int CACHED = 4096;
     /** The part of its sockets that may be users' who wait for the state service; more would only be answered late. */
     private static final int WAITING = 8;
 
@@ -38,18 +36,13 @@
     private final Function<JobView, String> why;
     private final Consumer<String> cancelled;
     private int waiting;
-    /** Jobs that are over; their state never changes again. */
-    private final Map<String, Records.Archived> over = new LinkedHashMap<>(64, 0.75f, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Records.Archived> eldest) {
-            return size() > CACHED;
-        }
-    };
+    private final Archive archive;
 
     Front(Params params, Mirror mirror, StateLink state, Function<JobView, String> why, Consumer<String> cancelled) {
         this.params = params;
         this.mirror = mirror;
         this.state = state;
+        this.archive = new Archive(params, state);
         this.why = why;
         this.cancelled = cancelled;
     }
@@ -107,7 +100,7 @@
             answer.accept(later("the state service can't be asked"));
             return;
         }
-        if (over.containsKey(id) || mirror.job(id) != null) {
+        if (archive.known(id) != null || mirror.job(id) != null) {
             poll(id, true, answer);
             return;
         }
@@ -186,7 +179,7 @@
 
     /** The job's state from a mirror newer than this call, or from the archive; null when it can't be known. */
     private void lookUp(String id, Consumer<Reply> found) {
-        Records.Archived known = over.get(id);
+        Records.Archived known = archive.known(id);
         if (known != null) {
             found.accept(Reply.of(200, answer(id, known)));
             return;
@@ -213,19 +206,18 @@
     }
 
     private void archived(String id, Consumer<Reply> found) {
-        state.get(Keys.archived(id), (sure, value) -> {
-            if (!sure) {
-                found.accept(null);
-            } else if (value == null) {
-                found.accept(error(404, "no such job"));
-            } else {
-                Records.Archived a = Records.archived(value);
-                over.put(id, a);
-                found.accept(Reply.of(200, answer(id, a)));
-            }
+        waiting++;
+        archive.ask(id, (sure, over) -> {
+            waiting--;
+            found.accept(!sure ? null : over == null ? error(404, "no such job") : Reply.of(200, answer(id, over)));
         });
     }
 
+    /** A job has ended, by the leader's word for a transaction that it saw applied: its users needn't ask the store. */
+    void over(String id, Records.Archived how) {
+        archive.learn(id, how);
+    }
+
     private byte[] answer(JobView job) {
         String id = job.spec().id();
         if (job.job().state() == JobState.CANCELLED) {
@@ -244,7 +236,7 @@
     }
 
     private void cancel(String id, int tries, Consumer<Reply> answer) {
-        Records.Archived known = over.get(id);
+        Records.Archived known = archive.known(id);
         if (known != null) {
             answer.accept(Reply.of(200, answer(id, known)));
             return;
--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -286,6 +286,8 @@
         } else if (m instanceof PeerMessage.Cancelled c) {
             holder.onCancelled(c.job());
             queueWork();
+        } else if (m instanceof PeerMessage.Over o) {
+            front.over(o.job(), o.how());
         } else if (m instanceof PeerMessage.Book b) {
             holder.onBook(b.machines(), b.lateJobs(), b.suspects());
             queueWork();
@@ -477,6 +479,9 @@
         LOG.debug("{}", txn);
         state.lead(txn, (result, ledger) -> {
             pipeline.ended(result, ledger);
+            if (result == TxnResult.OK) {
+                txn.ops().forEach(this::tellEnd);
+            }
             boolean good = result == TxnResult.OK || result == TxnResult.CONFLICT;
             if (result != TxnResult.REFUSED) {
                 state.sync(ok -> queueWork());
@@ -488,6 +493,16 @@
         });
     }
 
+    /** Every node can answer for a job that is over without asking for it. */
+    private void tellEnd(Txn.Op op) {
+        String job = Keys.archivedJob(op.key());
+        if (job != null) {
+            Records.Archived how = Records.archived(op.value());
+            front.over(job, how);
+            peers.sendAll(new PeerMessage.Over(job, how));
+        }
+    }
+
     private Txn nextChange(long now) {
         plannedAt = now;
         if (!types.isEmpty() && mirror.types().isEmpty()) {
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -17,6 +17,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -361,12 +362,36 @@
 
     // ---- reads and transactions
 
+    /** Runs once there is room for a read within this node's part of the limits. */
+    void whenReadable(Runnable run) {
+        long wait = reads.waitMs(now(), 1);
+        if (wait > 0) {
+            loop.schedule(() -> whenReadable(run), wait, TimeUnit.MILLISECONDS);
+        } else {
+            run.run();
+        }
+    }
+
+    /**
+     * Which of the keys are there: none when the set is empty, at least those in it otherwise; null when nobody knows. A
+     * transaction without changes compares them all in one request.
+     */
+    void present(List<String> keys, Consumer<Set<String>> done) {
+        reads.force(now(), 1);
+        Txn txn = new Txn();
+        keys.forEach(k -> txn.guard(k, 0));
+        http.call(host, HttpMethod.POST, "/multi", StateCodec.txn(txn), 1500, r -> {
+            try {
+                done.accept(r.is(200) ? Set.of() : r.is(409) ? StateCodec.failed(r.body()) : null);
+            } catch (IOException e) {
+                done.accept(null);
+            }
+        });
+    }
+
     /** Reads one key: its value, null when it isn't there; the flag is false when nobody knows. */
     void get(String key, BiConsumer<Boolean, Object> done) {
-        if (!reads.take(now(), 1)) {
-            done.accept(false, null);
-            return;
-        }
+        reads.force(now(), 1);
         http.call(host, HttpMethod.GET, "/keys/" + key, null, 1500, r -> {
             try {
                 if (r.is(200)) {
--- a/src/main/java/garnetscale/core/store/Keys.java
+++ b/src/main/java/garnetscale/core/store/Keys.java
@@ -30,6 +30,11 @@
         return ARCHIVE + id;
     }
 
+    /** The job whose end a key keeps, or null. */
+    public static String archivedJob(String key) {
+        return key.startsWith(ARCHIVE) ? key.substring(ARCHIVE.length()) : null;
+    }
+
     public static String block(String block) {
         return BLOCK + block;
     }
--- a/src/main/java/garnetscale/peer/PeerCodec.java
+++ b/src/main/java/garnetscale/peer/PeerCodec.java
@@ -3,11 +3,13 @@
 import garnetscale.core.bid.Bid;
 import garnetscale.core.bid.BidSheet;
 import garnetscale.core.block.Observation;
+import garnetscale.core.job.JobState;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.Address;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.ReportedTask;
 import garnetscale.core.machine.TaskState;
+import garnetscale.core.store.Records;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -61,6 +63,8 @@
             r = record("Book", rows, b.lateJobs(), b.suspects());
         } else if (message instanceof PeerMessage.Cancelled c) {
             r = record("Cancelled", c.job());
+        } else if (message instanceof PeerMessage.Over o) {
+            r = record("Over", o.job(), o.how().state().name(), o.how().tasks(), o.how().finished(), o.how().team());
         } else if (message instanceof PeerMessage.Bids b) {
             r = bids(b.sheet());
         } else {
@@ -113,6 +117,8 @@
                     whole(r, "leaderTerm"), whole(r, "stateAgeMs"), (boolean) r.get("deaf"));
                 case "Book" -> new PeerMessage.Book(book(r), texts((List<?>) r.get("late")), texts((List<?>) r.get("suspects")));
                 case "Cancelled" -> new PeerMessage.Cancelled(text(r, "job"));
+                case "Over" -> new PeerMessage.Over(text(r, "job"), new Records.Archived(JobState.valueOf(text(r, "state")),
+                    (int) r.get("tasks"), (int) r.get("finished"), text(r, "team")));
                 case "Observation" -> new PeerMessage.Seen(observation(r));
                 case "BidSheet" -> new PeerMessage.Bids(sheet(r));
                 default -> throw new IOException("not a message: " + r.getSchema().getName());
--- a/src/main/java/garnetscale/peer/PeerMessage.java
+++ b/src/main/java/garnetscale/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import garnetscale.core.bid.BidSheet;
 import garnetscale.core.block.Observation;
 import garnetscale.core.machine.Address;
+import garnetscale.core.store.Records;
 import java.util.List;
 
 /** What controllers say to each other. */
@@ -26,6 +27,10 @@
     record Cancelled(String job) implements PeerMessage {
     }
 
+    /** A job's end, which the leader knows to be stored; a fact that never changes again. */
+    record Over(String job, Records.Archived how) implements PeerMessage {
+    }
+
     record Seen(Observation observation) implements PeerMessage {
     }
 
--- a/src/main/java/garnetscale/wire/StateCodec.java
+++ b/src/main/java/garnetscale/wire/StateCodec.java
@@ -5,8 +5,10 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What the state service is asked and answers. */
 public final class StateCodec {
@@ -35,13 +37,23 @@
             }
             then.add(m);
         }
-        return Cbor.write(Map.of("guards", guards, "then", then));
+        return Cbor.write(then.isEmpty() ? Map.of("guards", guards) : Map.of("guards", guards, "then", then));
     }
 
     public static long ledger(byte[] body) throws IOException {
         return new Fields(Cbor.readMap(body)).whole("ledger");
     }
 
+    /** The keys that a transaction failed by. */
+    public static Set<String> failed(byte[] body) throws IOException {
+        Set<String> keys = new HashSet<>();
+        new Fields(Cbor.readMap(body)).list("failed").forEach(k -> keys.add(String.valueOf(k)));
+        if (keys.isEmpty()) {
+            throw new IOException("a failed transaction without a failed key");
+        }
+        return keys;
+    }
+
     public static byte[] lease(long ttlMs) {
         return Cbor.write(Map.of("ttl_ms", ttlMs));
     }
--- a/src/test/java/garnetscale/peer/PeerCodecTest.java
+++ b/src/test/java/garnetscale/peer/PeerCodecTest.java
@@ -7,7 +7,9 @@
 import garnetscale.core.bid.BidSheet;
 import garnetscale.core.block.Observation;
 import garnetscale.core.job.TaskId;
+import garnetscale.core.job.JobState;
 import garnetscale.core.machine.Address;
+import garnetscale.core.store.Records;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.ReportedTask;
 import garnetscale.core.machine.TaskState;
@@ -22,6 +24,7 @@
 
     private static final List<PeerMessage> MESSAGES = List.of(
         new PeerMessage.Heartbeat("hive-0", 4, -1, 250, true),
+        new PeerMessage.Over("wk-000412", new Records.Archived(JobState.DONE, 16, 16, "red")),
         new PeerMessage.Cancelled("wk-000412"),
         new PeerMessage.Book(List.of(new Address("m-000231", "10.1.0.232:9000", "a")), List.of("wk-000412"), List.of("wk-000413")),
         new PeerMessage.Seen(new Observation("hive-0", 4, "a/0", 1048577, "m-000231", "10.1.0.232:9000", "g8", "a", true,
