--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -50,6 +50,8 @@
     private static final double WATCHES = 0.45;
     private static final double READS = 0.25;
     private static final double WRITES = 0.9;
+    /** What a node may take of its part of the submissions: users keep their connections and don't come evenly. */
+    private static final double UNEVEN = 2;
 
     private final Params params;
     private final EventLoop loop;
@@ -419,7 +421,7 @@
     /** Users come to the nodes that are left, and with them the part of the limit that the others have no use for. */
     private void shareSubmissions(int nodes) {
         double each = params.stateWritesPerS() * WRITES / Math.max(1, nodes);
-        submissions.resize(each * 0.25 + 1, each * 0.4 + 1);
+        submissions.resize(each * UNEVEN * 0.25 + 1, each * UNEVEN * 0.4 + 1);
     }
 
     /** A user's transaction; refused at once when the limits are used up. */
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -5,6 +5,7 @@
 import garnetscale.core.bid.Auction;
 import garnetscale.core.bid.Bid;
 import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.Priority;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.line.Line;
 import garnetscale.core.line.LineOrder;
@@ -67,10 +68,11 @@
                 fleet += type.cpus();
             }
         }
-        double kept = reserve.cpus(fleet);
         List<JobView> waiting = Line.sort(mirror.jobs(), order, wallMs);
         for (JobView job : waiting) {
-            boolean reserved = free - job.spec().cpus() < kept && reserve.binds(job, wallMs);
+            boolean borrowed = borrowed(draft, job);
+            double kept = reserve.cpus(fleet, borrowed);
+            boolean reserved = free - job.spec().cpus() < kept && reserve.binds(job, borrowed, wallMs);
             int may = failures.mayPlace(now, job.spec().id(), job.placedCount());
             if (may == 0 || !auction.closed(now, job) || reserved || !draft.quota().allows(job.spec())) {
                 continue;
@@ -84,7 +86,7 @@
                 Bid bid = c.bid();
                 Room room = room(draft, m);
                 for (int i = 0; i < bid.slots() && next >= 0; i++) {
-                    if (free - job.spec().cpus() < kept && reserve.binds(job, wallMs)) {
+                    if (free - job.spec().cpus() < kept && reserve.binds(job, borrowed, wallMs)) {
                         next = -1;
                         break;
                     }
@@ -108,6 +110,11 @@
         return awarded;
     }
 
+    /** Whether the job is of low priority and its team beyond its guarantee, if it has one: such work waits for ever. */
+    private static boolean borrowed(Draft draft, JobView job) {
+        return job.spec().priority() == Priority.LOW && !draft.quota().guarantees(job.spec());
+    }
+
     /** The first task from there on that isn't started and may be, or -1. */
     private static int next(long now, JobView job, int from, Failures failures) {
         int next = job.nextUnstarted(from);
--- a/src/main/java/garnetscale/core/lead/Draft.java
+++ b/src/main/java/garnetscale/core/lead/Draft.java
@@ -159,6 +159,11 @@
         }
     }
 
+    /** How many tasks of the job it places. */
+    int awarded(String job) {
+        return awarded.getOrDefault(job, Set.of()).size();
+    }
+
     boolean isAwarded(String job, int task) {
         return awarded.getOrDefault(job, Set.of()).contains(task);
     }
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -299,8 +299,8 @@
             judgeSpeed(now);
         }
         drain(now, draft);
+        preempt(now, draft);
         if (sequence == before) {
-            preempt(now, draft);
             restartLate(now, draft);
         }
         for (JobView job : mirror.jobs()) {
@@ -412,18 +412,25 @@
         return ids;
     }
 
-    /** Only when nothing could be awarded: a stop is for those who find no room. */
+    /**
+     * Stops are for those who find no room: for jobs that must start at once, and for work within a guarantee, for which
+     * what others borrow is given back.
+     */
     private void preempt(long now, Draft draft) {
         if (now < preemptAt) {
             return;
         }
-        preemptAt = now + params.windowMs() / 2;
+        preemptAt = now + params.windowMs();
         int looked = 0;
         boolean found = false;
         Preemption preemption = null;
         for (JobView job : Line.sort(mirror.jobs(), order, now + wallOffset)) {
-            if (!reserve.isTight(job) || !auction.closed(now, job) && !auction.bids(job.spec().id()).isEmpty()
-                || failures.isSuspect(job.spec().id()) || !draft.quota().allows(job.spec())) {
+            boolean tight = reserve.isTight(job);
+            int waiting = job.unstarted() - draft.awarded(job.spec().id());
+            boolean entitled = tight || draft.quota().guarantees(job.spec());
+            boolean open = !auction.closed(now, job) && !auction.bids(job.spec().id()).isEmpty();
+            if (waiting <= 0 || !entitled || open || failures.isSuspect(job.spec().id())
+                || !draft.quota().allows(job.spec())) {
                 continue;
             }
             if (looked++ >= PREEMPTED_FOR) {
@@ -432,7 +439,7 @@
             if (preemption == null) {
                 preemption = new Preemption(mirror, machines.values(), estimator, stoppedOnce, draft, now);
             }
-            int stopped = preemption.makeRoom(job, job.unstarted());
+            int stopped = preemption.makeRoom(job, waiting, tight);
             if (stopped > 0) {
                 log.accept("stops " + stopped + " less urgent tasks for job " + job.spec().id() + " of team "
                     + job.spec().team());
--- a/src/main/java/garnetscale/core/lead/Preemption.java
+++ b/src/main/java/garnetscale/core/lead/Preemption.java
@@ -79,8 +79,11 @@
         }
     }
 
-    /** Stops what makes room for up to so many tasks of the job; returns how many were stopped. */
-    int makeRoom(JobView job, int tasks) {
+    /**
+     * Stops what makes room for up to so many tasks of the job; returns how many were stopped. A job that needn't start at
+     * once has a claim on what is borrowed only.
+     */
+    int makeRoom(JobView job, int tasks, boolean tight) {
         JobSpec spec = job.spec();
         int missing = tasks;
         for (Candidate c : candidates) {
@@ -95,7 +98,7 @@
                 break;
             }
             JobSpec s = v.job().spec();
-            if (s.priority().compareTo(spec.priority()) <= 0 || !allows(v.on(), spec)) {
+            if (s.priority().compareTo(spec.priority()) <= 0 || !allows(v.on(), spec) || !tight && !draft.quota().borrows(s)) {
                 continue;
             }
             i.remove();
--- a/src/main/java/garnetscale/core/lead/Reserve.java
+++ b/src/main/java/garnetscale/core/lead/Reserve.java
@@ -55,8 +55,14 @@
         seen.retainAll(present);
     }
 
-    /** CPUs to leave free for the tight classes, of so many that the fleet has. */
-    double cpus(double fleet) {
+    /**
+     * CPUs to leave free for the tight classes, of so many that the fleet has. Work that a team borrows room for leaves the
+     * most: it may fill any fleet, and what is stopped for others has yet to save.
+     */
+    double cpus(double fleet, boolean borrowed) {
+        if (borrowed) {
+            return MOST * fleet;
+        }
         double sum = 0;
         for (double s : sizes.values()) {
             sum += s;
@@ -69,10 +75,10 @@
         return tight.containsKey(job.spec().jobClass());
     }
 
-    /** Whether the job has to leave the reserve alone. */
-    boolean binds(JobView job, long wallMs) {
+    /** Whether the job has to leave the reserve alone; what is borrowed has to for however long it waits. */
+    boolean binds(JobView job, boolean borrowed, long wallMs) {
         JobSpec s = job.spec();
         return !tight.containsKey(s.jobClass()) && s.priority().compareTo(lowest) > 0
-            && wallMs - job.job().submittedMs() < 1000 * patience.getOrDefault(s.jobClass(), 30.0);
+            && (borrowed || wallMs - job.job().submittedMs() < 1000 * patience.getOrDefault(s.jobClass(), 30.0));
     }
 }
--- a/src/main/java/garnetscale/standin/WorkerModel.java
+++ b/src/main/java/garnetscale/standin/WorkerModel.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /** A worker by its published protocol, with the time handed in: tokens, sessions, tasks and leases. */
 public final class WorkerModel {
@@ -57,6 +58,7 @@
     private long token;
     private long leaseFrom;
     private double slowness = 1;
+    private Predicate<TaskId> fails = t -> false;
 
     public WorkerModel(String id, String address, MachineType type, String zone, long leaseMs, long now,
                        Function<String, JobSpec> jobs, Watcher watcher) {
@@ -75,6 +77,11 @@
         slowness = times;
     }
 
+    /** Has tasks end in error once they have their image. */
+    public void fail(Predicate<TaskId> which) {
+        fails = which;
+    }
+
     public long shift() {
         return shift;
     }
@@ -98,6 +105,9 @@
                 t.state = TaskState.RUNNING;
                 t.until = now + (results.contains(t.id) ? 0 : Math.round(job.estimateS() * 1000 * slowness));
                 watcher.began(id, t.id, t.attempt);
+                if (fails.test(t.id)) {
+                    exit(t, ExitCause.ERROR);
+                }
             }
             if (t.state == TaskState.RUNNING && now >= t.until) {
                 results.add(t.id);
--- a/src/test/java/garnetscale/core/sim/SimulationTest.java
+++ b/src/test/java/garnetscale/core/sim/SimulationTest.java
@@ -30,7 +30,10 @@
             double cpus = 1 + w.random.nextInt(4);
             double seconds = 1 + w.random.nextInt(25);
             w.at(w.random.nextInt((int) TROUBLE), () -> w.submit(id, team, tasks, cpus, seconds));
-            if (w.random.nextInt(4) == 0) {
+            if (w.random.nextInt(12) == 0) {
+                w.broken.add(id);
+                w.at((int) TROUBLE + 60_000, () -> w.cancel(id));
+            } else if (w.random.nextInt(4) == 0) {
                 w.at(w.random.nextInt((int) TROUBLE) + 20_000, () -> w.cancel(id));
             }
         }
@@ -54,7 +57,7 @@
         String node = w.nodes.get(w.random.nextInt(w.shape.nodes())).name;
         String worker = w.workers.get(w.random.nextInt(w.workers.size())).id;
         long ms = 1000 + w.random.nextInt(40_000);
-        switch (w.random.nextInt(14)) {
+        switch (w.random.nextInt(15)) {
             case 0 -> w.nodes.get(w.random.nextInt(w.shape.nodes())).crash(w.random.nextInt(3) == 0 ? 100 : 5000);
             case 1 -> w.nodes.forEach(n -> n.crash(4000 + w.random.nextInt(2000)));
             case 2 -> w.cut(node, ms);
@@ -78,6 +81,11 @@
                 w.nodes.forEach(n -> n.crash(100 + w.random.nextInt(400)));
                 w.at(300 + w.random.nextInt(2000), () -> w.nodes.get(w.random.nextInt(w.shape.nodes())).crash(100));
             }
+            // A controller that reaches everything but the workers.
+            case 13 -> w.workers.forEach(x -> {
+                w.cut(x.id + ">" + node, ms);
+                w.cut(node + ">" + x.id, ms);
+            });
             default -> w.cut(node + ">" + worker, ms);
         }
     }
--- a/src/test/java/garnetscale/core/sim/World.java
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -27,11 +27,13 @@
 import garnetscale.standin.WorkerModel;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -97,6 +99,8 @@
     final StateModel state = new StateModel();
     final List<Node> nodes = new ArrayList<>();
     final List<Worker> workers = new ArrayList<>();
+    /** Jobs that were submitted with a mistake: their tasks fail wherever they run. */
+    final Set<String> broken = new HashSet<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<String, Long> cutUntil = new HashMap<>();
     private final Map<String, Long> frozenUntil = new HashMap<>();
@@ -264,6 +268,7 @@
         Worker(String id, String zone) {
             this.id = id;
             this.model = new WorkerModel(id, id, TYPE, zone, LEASE, 0, rules.jobs::get, rules);
+            model.fail(t -> broken.contains(t.job()));
             at(random.nextInt(1000), this::report);
         }
 
@@ -348,6 +353,7 @@
             loop(mine, 20 + random.nextInt(30), this::work);
             loop(mine, 400, this::renew);
             loop(mine, 60, this::follow);
+            loop(mine, 1000, () -> peers(n -> n.leader.hears(name, holder.deaf())));
             loop(mine, 1000, () -> {
                 if (leader.leadingTerm() >= 0) {
                     List<Address> book = workers.stream()
