--- a/src/main/java/garnetscale/core/store/Mirror.java
+++ b/src/main/java/garnetscale/core/store/Mirror.java
@@ -43,6 +43,7 @@
     /** The last entry of the work log that is in here. */
     private long sequence;
     private boolean torn;
+    private long jobsAdded;
 
     public long ledger() {
         return ledger;
@@ -62,6 +63,11 @@
         return stamps.getOrDefault(key, 0L);
     }
 
+    /** How many jobs have come in since this process started. */
+    public long jobsAdded() {
+        return jobsAdded;
+    }
+
     public JobView job(String id) {
         return jobs.get(id);
     }
@@ -331,7 +337,9 @@
             jobs.remove(id);
             return;
         }
-        jobs.put(id, new JobView(Records.job(id, value), stamp, marksOf(id)));
+        if (jobs.put(id, new JobView(Records.job(id, value), stamp, marksOf(id))) == null) {
+            jobsAdded++;
+        }
     }
 
     private JobView.Marks marksOf(String job) {
