A new leader is told of every machine once the mirror shows it

The word of a new leader came by a peer's heartbeat before the mirror showed it, so the holders told the old one, and machines at rest were never told of again. Holders now go by the mirror's leader. Machines that the leader wasn't told of count as silent when it judges whether too many are silent at once.

--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -29,6 +29,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -107,6 +108,7 @@
     private long offeredAt = Long.MIN_VALUE / 2;
     private boolean offerDue = true;
     private long offeredLedger = -1;
+    private LeaderInfo toldTo;
 
     public Holder(Params params, Mirror mirror, Blocks blocks, Estimator estimator) {
         this.params = params;
@@ -493,6 +495,12 @@
         if (!entitled(now)) {
             return;
         }
+        // By the mirror, as whoever carries out the effects goes: a peer's word of a new leader may come before it. What was
+        // told then went to the old one, and the new one took machines at rest for silent and gave them back.
+        if (!Objects.equals(toldTo, mirror.leader())) {
+            toldTo = mirror.leader();
+            untold();
+        }
         for (String id : mirror.takeChanged()) {
             MachineView m = machines.get(id);
             if (m != null) {
@@ -657,6 +665,11 @@
 
     /** Tells everything again, for a leader that is new or whose connection is. */
     public void retell(long now) {
+        untold();
+        tick(now);
+    }
+
+    private void untold() {
         machines.values().forEach(m -> {
             m.observedHash = 0;
             m.dirty = true;
@@ -665,7 +678,6 @@
         sweptAt = Long.MIN_VALUE / 2;
         offeredAt = Long.MIN_VALUE / 2;
         offerDue = true;
-        tick(now);
     }
 
     /**
--- a/src/main/java/garnetscale/core/fleet/Fleet.java
+++ b/src/main/java/garnetscale/core/fleet/Fleet.java
@@ -254,7 +254,9 @@
     }
 
     private CloudCall delete(long now, Map<String, Observation> known) {
-        long silent = known.values().stream().filter(Observation::silent).count();
+        // Machines that are up by the list and not told of count, too: it may be the telling that fails.
+        long silent = known.values().stream().filter(Observation::silent).count()
+            + listed.values().stream().filter(m -> m.state() == Listed.State.RUNNING && !known.containsKey(m.id())).count();
         List<String> ids = new ArrayList<>();
         for (Listed m : listed.values()) {
             MachineType type = type(m.type());
