Borrowed work that hasn't begun may use the reserve; turns of 8 ms, rarer looks at the fleet

A job of which nothing has begun waits for no longer than others now, and where nothing has to start soon there is no reserve.

--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -51,7 +51,7 @@
     private static final long TICK_MS = 250;
     private static final long HEARTBEAT_MS = 1000;
     /** What happens within this time is worked on together. */
-    private static final long TURN_MS = 4;
+    private static final long TURN_MS = 8;
     /** What the fleet lacks is worked out no more often than this while there is nothing to ask of the cloud. */
     private static final long FLEET_MS = 2 * TICK_MS;
     /** Drafts in a window; each goes through all that waits. */
@@ -60,6 +60,8 @@
     private static final long FRUITLESS = 3;
     /** The pause after a turn, in multiples of what it took. */
     private static final long REST = 3;
+    /** The pause after working out what the fleet lacks, likewise. */
+    private static final long FLEET_REST = 200;
 
     private record Peer(PeerMessage.Heartbeat last, long at) {
     }
@@ -430,6 +432,7 @@
         if (state.ageMs() < 3000 && cloud.ready(now) && now - fleetAt >= FLEET_MS) {
             fleetAt = now;
             CloudCall call = fleet.next(now, leader.machines(), leader.condemned(), leader.suspects());
+            fleetAt += Math.min(FLEET_MS, FLEET_REST * (now() - now));
             if (call != null) {
                 fleetAt = now - FLEET_MS;
                 cloud.call(now, call);
--- a/src/main/java/garnetscale/core/block/Hearing.java
+++ b/src/main/java/garnetscale/core/block/Hearing.java
@@ -61,6 +61,11 @@
         return false;
     }
 
+    /** Whether enough time has passed to look again. */
+    boolean due(long now) {
+        return now - lookedAt >= silence() / 5;
+    }
+
     /** However many machines there are, a busy process may be late by this much. */
     private long silence() {
         return Math.max(1000, params.reportMs() / 4);
--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -527,6 +527,9 @@
 
     /** Finds out whether the workers are out of reach, and when they are back. */
     private void listen(long now) {
+        if (!hearing.due(now)) {
+            return;
+        }
         int due = 0;
         for (MachineView m : machines.values()) {
             due += m.last != null && m.oursAt >= 0 && !silent(now, m) ? 1 : 0;
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -448,7 +448,7 @@
         }
         if (looked > 0 && !found) {
             // A full fleet without anybody to stop: it was gone over for nothing, and soon would be again.
-            preemptAt = now + 2 * params.windowMs();
+            preemptAt = now + 4 * params.windowMs();
         }
     }
 
--- a/src/main/java/garnetscale/core/lead/Reserve.java
+++ b/src/main/java/garnetscale/core/lead/Reserve.java
@@ -25,8 +25,12 @@
     private final Map<String, Double> sizes = new HashMap<>();
     private final Set<String> seen = new HashSet<>();
     private Priority lowest = Priority.CRITICAL;
+    /** Whether anything has to start soon: by its class, or by a guarantee. */
+    private final boolean promised;
 
     Reserve(Params params) {
+        promised = params.objectives().stream().anyMatch(o -> (o.kind().equals("wait") || o.kind().equals("guarantee"))
+            && o.withinS() * 1000 <= 2 * params.reportMs());
         for (Params.Objective o : params.objectives()) {
             if (o.kind().equals("wait") && o.withinS() * 1000 <= 2 * params.reportMs()) {
                 tight.put(o.jobClass(), o.withinS());
@@ -61,7 +65,7 @@
      */
     double cpus(double fleet, boolean borrowed) {
         if (borrowed) {
-            return MOST * fleet;
+            return promised ? MOST * fleet : 0;
         }
         double sum = 0;
         for (double s : sizes.values()) {
@@ -75,10 +79,13 @@
         return tight.containsKey(job.spec().jobClass());
     }
 
-    /** Whether the job has to leave the reserve alone; what is borrowed has to for however long it waits. */
+    /**
+     * Whether the job has to leave the reserve alone. What is borrowed has to for however long it waits, once it has begun:
+     * a job of which nothing has begun would otherwise never begin on a full fleet.
+     */
     boolean binds(JobView job, boolean borrowed, long wallMs) {
         JobSpec s = job.spec();
         return !tight.containsKey(s.jobClass()) && s.priority().compareTo(lowest) > 0
-            && (borrowed || wallMs - job.job().submittedMs() < 1000 * patience.getOrDefault(s.jobClass(), 30.0));
+            && (borrowed && job.placedCount() + job.finishedCount() > 0 || wallMs - job.job().submittedMs() < 1000 * patience.getOrDefault(s.jobClass(), 30.0));
     }
 }
