--- a/src/main/java/garnetscale/app/Archive.java
+++ b/src/main/java/garnetscale/app/Archive.java
@@ -1,6 +1,5 @@
 package garnetscale.app;
 
-import garnetscale.core.Params;
 import garnetscale.core.store.Keys;
 import garnetscale.core.store.Records;
 import java.util.ArrayDeque;
@@ -10,7 +9,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * What is known of jobs that are over, and the questions about those that the mirror doesn't hold. Users ask about jobs that
@@ -25,6 +26,21 @@
     /** Questions that may wait, in multiples of what one request takes; more than that are refused at once. */
     private static final int REQUESTS = 2;
 
+    /** Where the ends of jobs are kept; each call but the first is one request. */
+    interface Store {
+        /** Runs once there is room for a request. */
+        void whenReadable(Runnable run);
+
+        /** Calls back with a key's value, or null when it isn't there; false when nobody knows. */
+        void get(String key, BiConsumer<Boolean, Object> done);
+
+        /**
+         * Which of the keys are there: none when the set is empty, at least those in it otherwise; null when nobody knows. A
+         * transaction without changes compares them all in one request.
+         */
+        void present(List<String> keys, Consumer<Set<String>> done);
+    }
+
     private interface Asker extends BiConsumer<Boolean, Records.Archived> {
     }
 
@@ -34,7 +50,7 @@
         }
     }
 
-    private final StateLink state;
+    private final Store state;
     private final int atOnce;
     private final Map<String, Question> waiting = new LinkedHashMap<>();
     /** Found to be there, and still to be read. */
@@ -48,9 +64,9 @@
         }
     };
 
-    Archive(Params params, StateLink state) {
+    Archive(int txnOps, Store state) {
         this.state = state;
-        this.atOnce = CONDITIONS * params.txnOps();
+        this.atOnce = CONDITIONS * txnOps;
     }
 
     /** How the job ended, if that is known here. */
--- a/src/main/java/garnetscale/app/Front.java
+++ b/src/main/java/garnetscale/app/Front.java
@@ -42,7 +42,7 @@
         this.params = params;
         this.mirror = mirror;
         this.state = state;
-        this.archive = new Archive(params, state);
+        this.archive = new Archive(params.txnOps(), state);
         this.why = why;
         this.cancelled = cancelled;
     }
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -29,7 +29,7 @@
  * The one way to the state service: keeps the process's lease and the mirror, and sends everything else within
  * this node's part of the limits. Renewals go first; what can't be sent soon is refused at once.
  */
-final class StateLink {
+final class StateLink implements Archive.Store {
 
     /** What the link tells the node. */
     interface Listener {
@@ -374,8 +374,8 @@
 
     // ---- reads and transactions
 
-    /** Runs once there is room for a read within this node's part of the limits. */
-    void whenReadable(Runnable run) {
+    @Override
+    public void whenReadable(Runnable run) {
         long wait = reads.waitMs(now(), 1);
         if (wait > 0) {
             loop.schedule(() -> whenReadable(run), wait, TimeUnit.MILLISECONDS);
@@ -384,11 +384,8 @@
         }
     }
 
-    /**
-     * Which of the keys are there: none when the set is empty, at least those in it otherwise; null when nobody knows. A
-     * transaction without changes compares them all in one request.
-     */
-    void present(List<String> keys, Consumer<Set<String>> done) {
+    @Override
+    public void present(List<String> keys, Consumer<Set<String>> done) {
         reads.force(now(), 1);
         Txn txn = new Txn();
         keys.forEach(k -> txn.guard(k, 0));
@@ -401,8 +398,8 @@
         });
     }
 
-    /** Reads one key: its value, null when it isn't there; the flag is false when nobody knows. */
-    void get(String key, BiConsumer<Boolean, Object> done) {
+    @Override
+    public void get(String key, BiConsumer<Boolean, Object> done) {
         reads.force(now(), 1);
         http.call(host, HttpMethod.GET, "/keys/" + key, null, 1500, r -> {
             try {
