--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -466,6 +466,10 @@
     }
 
     private void transact(long now) {
+        if (state.failing()) {
+            // Nothing would be stored; what is drafted from a mirror that stands still only says things that aren't so.
+            return;
+        }
         long gap = params.windowMs() / PLANS_IN_WINDOW * (fruitless ? FRUITLESS : 1);
         if (now - plannedAt < gap) {
             wakeAt(plannedAt + gap);
@@ -482,9 +486,6 @@
         LOG.debug("{}", txn);
         state.lead(txn, (result, ledger) -> {
             pipeline.ended(result, ledger);
-            if (result == TxnResult.OK) {
-                txn.ops().forEach(this::tellEnd);
-            }
             boolean good = result == TxnResult.OK || result == TxnResult.CONFLICT;
             if (result != TxnResult.REFUSED) {
                 state.sync(ok -> queueWork());
@@ -493,6 +494,9 @@
                 pipeline.ready();
                 queueWork();
             }, good ? 10 : 100 + ThreadLocalRandom.current().nextLong(100), TimeUnit.MILLISECONDS);
+            if (result == TxnResult.OK) {
+                txn.ops().forEach(this::tellEnd);
+            }
         });
     }
 
--- a/src/main/java/garnetscale/net/HttpClient.java
+++ b/src/main/java/garnetscale/net/HttpClient.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -29,6 +30,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Requests over persistent connections, one request on a connection at a time. Lives on one event loop, like all
@@ -36,6 +39,7 @@
  */
 public final class HttpClient {
 
+    private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
     /** Bodies of watches have no size limit in the protocol; this is where a process would rather relist. */
     private static final int MAX_BODY = 8 << 20;
 
@@ -216,6 +220,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                LOG.error("an answer of {} could not be worked on", host, cause);
+            }
             ctx.close();
         }
     }
