--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -86,6 +86,9 @@
     private boolean suspectNews;
     /** Nodes that this one can't speak with, since when; only a reason to act sooner, never a proof. */
     private final Map<String, Long> suspects = new HashMap<>();
+    /** The process that each suspicion was of, and when one last turned out to be wrong. */
+    private final Map<String, Long> suspectedAs = new HashMap<>();
+    private final Map<String, Long> falseAlarms = new HashMap<>();
     /** Nodes that say that no worker reaches them. */
     private final Set<String> deafNodes = new HashSet<>();
     /** When a block was last moved because none of its machines was heard of. */
@@ -160,7 +163,15 @@
 
     /** A node's process seems to be down, or is heard of again. */
     public void suspect(long now, String node, boolean down) {
-        if (down ? suspects.putIfAbsent(node, now) == null : suspects.remove(node) != null) {
+        boolean news = down ? suspects.putIfAbsent(node, now) == null : suspects.remove(node) != null;
+        NodeInfo info = mirror.node(node);
+        if (news && down) {
+            suspectedAs.put(node, info == null ? -1 : info.incarnation());
+        } else if (news && info != null && info.incarnation() == suspectedAs.get(node)) {
+            // It is the same process: not down, but a link that fails, and may do so again.
+            falseAlarms.put(node, now);
+        }
+        if (news) {
             log.accept("node " + node + (down ? " seems to be down" : " is heard of again"));
         }
     }
@@ -188,7 +199,9 @@
     /**
      * Whether to depose the present leader before its lease ends. Safe at any time, since every transaction of a
      * leader is guarded by the key that this replaces; not to go on for ever between two nodes that refuse each
-     * other, only a fresh suspicion counts: who outlives it by a lease wasn't down.
+     * other, only a fresh suspicion counts: who outlives it by a lease wasn't down. Nor does one that was wrong a while
+     * ago, or that is of all others at once: then it is the network, and the state service knows better who lives. A
+     * leader that no worker reaches is no loss.
      */
     private boolean leaderIsDown(long now) {
         LeaderInfo l = mirror.leader();
@@ -196,10 +209,19 @@
             leaderSeen = l;
             leaderSeenAt = now;
         }
-        return l != null && suspects.containsKey(l.node())
+        if (l == null || !deafNodes.contains(l.node()) && (suspectsAll()
+            || now - falseAlarms.getOrDefault(l.node(), Long.MIN_VALUE / 2) < 8 * params.nodeTtlMs())) {
+            return false;
+        }
+        return suspects.containsKey(l.node())
             && now - suspects.get(l.node()) < params.nodeTtlMs() && now - leaderSeenAt > 4 * params.nodeTtlMs();
     }
 
+    private boolean suspectsAll() {
+        int others = params.members().size() - 1;
+        return others > 1 && suspects.size() >= others;
+    }
+
     /**
      * The transaction that makes this node the leader, or null when there is one. The term comes from a counter
      * that the same transaction raises, so no two leaders share one.
