--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -58,7 +58,7 @@
     /** Adds awards to the draft; returns how many. */
     int award(long now, long wallMs, Draft draft, Failures failures, LongSupplier attempts) {
         int awarded = 0;
-        reserve.observe(mirror.jobs());
+        reserve.observe(now, mirror.jobs());
         double free = 0;
         double fleet = 0;
         for (MachineState m : machines.values()) {
--- a/src/main/java/garnetscale/core/lead/Reserve.java
+++ b/src/main/java/garnetscale/core/lead/Reserve.java
@@ -17,6 +17,8 @@
 final class Reserve {
 
     private static final double GAIN = 0.1;
+    /** What comes is averaged over this time. */
+    private static final double RATE_S = 30;
     /** The most that is kept, as a share of what the fleet has. */
     private static final double MOST = 0.15;
 
@@ -25,12 +27,13 @@
     private final Map<String, Double> sizes = new HashMap<>();
     private final Set<String> seen = new HashSet<>();
     private Priority lowest = Priority.CRITICAL;
-    /** Whether anything has to start soon: by its class, or by a guarantee. */
-    private final boolean promised;
+    /** What the tight classes ask for, and how long it takes to get back what others borrow: two reports. */
+    private double cpusPerS;
+    private final double aheadS;
+    private long observedAt = Long.MIN_VALUE;
 
     Reserve(Params params) {
-        promised = params.objectives().stream().anyMatch(o -> (o.kind().equals("wait") || o.kind().equals("guarantee"))
-            && o.withinS() * 1000 <= 2 * params.reportMs());
+        aheadS = 2 * params.reportMs() / 1000.0;
         for (Params.Objective o : params.objectives()) {
             if (o.kind().equals("wait") && o.withinS() * 1000 <= 2 * params.reportMs()) {
                 tight.put(o.jobClass(), o.withinS());
@@ -40,8 +43,9 @@
         }
     }
 
-    /** Learns how large jobs of the tight classes are. */
-    void observe(Iterable<JobView> jobs) {
+    /** Learns how large jobs of the tight classes are, and how many come. */
+    void observe(long now, Iterable<JobView> jobs) {
+        double came = 0;
         Set<String> present = new HashSet<>();
         for (JobView j : jobs) {
             JobSpec s = j.spec();
@@ -49,7 +53,8 @@
                 present.add(s.id());
                 if (seen.add(s.id())) {
                     double size = s.tasks() * s.cpus();
-                    sizes.merge(s.jobClass(), size, (old, now) -> old + GAIN * (now - old));
+                    came += size;
+                    sizes.merge(s.jobClass(), size, (old, last) -> old + GAIN * (last - old));
                     if (s.priority().compareTo(lowest) > 0) {
                         lowest = s.priority();
                     }
@@ -57,21 +62,28 @@
             }
         }
         seen.retainAll(present);
+        double passedS = observedAt == Long.MIN_VALUE ? 0 : (now - observedAt) / 1000.0;
+        observedAt = now;
+        cpusPerS = (cpusPerS + came / RATE_S) * Math.exp(-passedS / RATE_S);
     }
 
     /**
-     * CPUs to leave free for the tight classes, of so many that the fleet has. Work that a team borrows room for leaves the
-     * most: it may fill any fleet, and what is stopped for others has yet to save.
+     * CPUs to leave free for the tight classes, of so many that the fleet has. Work that a team borrows room for leaves
+     * more: it may fill any fleet, and what is stopped for others has yet to save.
      */
     double cpus(double fleet, boolean borrowed) {
         if (borrowed) {
-            return promised ? MOST * fleet : 0;
+            return Math.min(MOST * fleet, Math.max(sum(), cpusPerS * aheadS));
         }
+        return Math.min(MOST * fleet, sum());
+    }
+
+    private double sum() {
         double sum = 0;
         for (double s : sizes.values()) {
             sum += s;
         }
-        return Math.min(MOST * fleet, sum);
+        return sum;
     }
 
     /** Whether the job's class must start at once. */
