--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -14,6 +14,7 @@
 import garnetscale.core.block.NodeInfo;
 import garnetscale.core.block.Observation;
 import garnetscale.core.block.Terms;
+import garnetscale.core.job.Priority;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.line.Line;
 import garnetscale.core.line.LineOrder;
@@ -435,8 +436,8 @@
     }
 
     /**
-     * Stops are for those who find no room: for jobs that must start at once, and for work within a guarantee, for which
-     * what others borrow is given back.
+     * Stops are for those who find no room: for jobs that must start at once, for work within a guarantee, for which what
+     * others borrow is given back, and for any work where idle work, of the lowest priority, has the room.
      */
     private void preempt(long now, Draft draft) {
         if (now < preemptAt) {
@@ -446,12 +447,13 @@
         int looked = 0;
         boolean found = false;
         Preemption preemption = null;
+        boolean idle = mirror.jobs().stream().anyMatch(j -> j.spec().priority() == Priority.LOW && j.placedCount() > 0);
         for (JobView job : Line.sort(mirror.jobs(), order, now + wallOffset)) {
             boolean tight = reserve.isTight(job);
             int waiting = job.unstarted() - draft.awarded(job.spec().id());
-            boolean entitled = tight || draft.quota().guarantees(job.spec());
+            boolean guaranteed = draft.quota().guarantees(job.spec());
             boolean open = !auction.closed(now, job) && !auction.bids(job.spec().id()).isEmpty();
-            if (waiting <= 0 || !entitled || open || failures.isSuspect(job.spec().id())
+            if (waiting <= 0 || !tight && !guaranteed && !idle || open || failures.isSuspect(job.spec().id())
                 || !draft.quota().allows(job.spec())) {
                 continue;
             }
@@ -461,7 +463,7 @@
             if (preemption == null) {
                 preemption = new Preemption(mirror, machines.values(), estimator, stoppedOnce, draft, now);
             }
-            int stopped = preemption.makeRoom(job, waiting, tight);
+            int stopped = preemption.makeRoom(job, waiting, tight, guaranteed);
             if (stopped > 0) {
                 log.accept("stops " + stopped + " less urgent tasks for job " + job.spec().id() + " of team "
                     + job.spec().team());
--- a/src/main/java/garnetscale/core/lead/Preemption.java
+++ b/src/main/java/garnetscale/core/lead/Preemption.java
@@ -2,6 +2,7 @@
 
 import garnetscale.core.bid.Estimator;
 import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.Priority;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.line.Line;
 import garnetscale.core.machine.MachineType;
@@ -11,15 +12,14 @@
 import garnetscale.core.store.Mirror;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 
 /**
  * Stops less urgent tasks for jobs that must start at once and find no room. What loses least work goes first:
  * tasks that save, then young ones; a task that is past a fifth of its time is let finish. What is being stopped
- * already counts as room on its way, so that one need isn't answered twice; and no task is stopped twice, or a full
- * fleet would start and stop the same ones over and over.
+ * already counts as room on its way, so that one need isn't answered twice; and no task is stopped twice, unless it has
+ * saved something new meanwhile, or a full fleet would start and stop the same ones over and over.
  */
 final class Preemption {
 
@@ -29,11 +29,15 @@
     private static final int MOST = 8;
     private static final int MOST_OF_FLEET = 16;
 
-    /** A machine, with the room that what is to stay on it leaves. */
-    private record Candidate(MachineState machine, MachineType type, Room room) {
+    /** A machine, with the room that what is to stay on it leaves, and what may be stopped on it, cheapest first. */
+    private record Candidate(MachineState machine, MachineType type, Room room, List<Victim> victims) {
     }
 
-    private record Victim(Candidate on, Placement placement, JobView job, double lostS) {
+    private record Victim(Placement placement, JobView job, double lostS) {
+    }
+
+    /** What to stop on one machine so that a task more fits there, and the work that this loses. */
+    private record Stops(Candidate on, List<Victim> victims, int gain, double lostS) {
     }
 
     private final Mirror mirror;
@@ -42,8 +46,6 @@
     private final Draft draft;
     private final long now;
     private final List<Candidate> candidates = new ArrayList<>();
-    /** What may be stopped, for anybody; what loses least work first. */
-    private final List<Victim> victims = new ArrayList<>();
 
     /** Looks at all machines, once for all the jobs that room is to be made for now. */
     Preemption(Mirror mirror, Iterable<MachineState> machines, Estimator estimator, Set<TaskId> stoppedOnce,
@@ -56,10 +58,9 @@
         for (MachineState m : machines) {
             MachineType type = m.last == null ? null : mirror.type(m.last.type());
             if (type != null && !m.last.silent() && m.last.noticeS() == null && now >= m.avoidUntil && !m.condemned) {
-                lookAt(new Candidate(m, type, new Room(type)));
+                lookAt(new Candidate(m, type, new Room(type), new ArrayList<>()));
             }
         }
-        victims.sort(Comparator.comparingDouble(Victim::lostS));
     }
 
     private void lookAt(Candidate c) {
@@ -70,20 +71,26 @@
                 continue;
             }
             c.room().take(job.spec());
-            if (job.live() && !stoppedOnce.contains(p.task())) {
+            if (job.live() && (!stoppedOnce.contains(p.task()) || hasSaved(c.machine(), p, job))) {
                 double lost = lostS(now, c.machine(), p, job);
                 if (lost >= 0) {
-                    victims.add(new Victim(c, p, job, lost * job.spec().cpus()));
+                    c.victims().add(new Victim(p, job, lost * job.spec().cpus()));
                 }
             }
         }
+        c.victims().sort(Comparator.comparingDouble(Victim::lostS));
+    }
+
+    private boolean hasSaved(MachineState m, Placement p, JobView job) {
+        Long since = m.runningSince.get(p.attempt());
+        return since != null && job.spec().savesProgress() && (now - since) / 1000.0 >= job.spec().checkpointS();
     }
 
     /**
      * Stops what makes room for up to so many tasks of the job; returns how many were stopped. A job that needn't start at
-     * once has a claim on what is borrowed only.
+     * once has a claim on what is borrowed only, and where it isn't within its team's guarantee on idle work only.
      */
-    int makeRoom(JobView job, int tasks, boolean tight) {
+    int makeRoom(JobView job, int tasks, boolean tight, boolean guaranteed) {
         JobSpec spec = job.spec();
         int missing = tasks;
         for (Candidate c : candidates) {
@@ -92,23 +99,63 @@
             }
         }
         int stopped = 0;
-        for (Iterator<Victim> i = victims.iterator(); i.hasNext() && missing > 0;) {
-            Victim v = i.next();
-            if (stopped >= Math.max(MOST, candidates.size() / MOST_OF_FLEET) || !draft.hasRoom(false)) {
-                break;
+        int most = Math.max(MOST, candidates.size() / MOST_OF_FLEET);
+        for (boolean again = true; again && missing > 0 && stopped < most;) {
+            again = false;
+            List<Stops> cheapest = new ArrayList<>();
+            for (Candidate c : candidates) {
+                Stops s = c.victims().isEmpty() || !allows(c, spec) ? null : cheapest(c, spec, tight, guaranteed);
+                if (s != null) {
+                    cheapest.add(s);
+                }
             }
+            cheapest.sort(Comparator.comparingDouble(s -> s.lostS() / s.gain()));
+            for (Stops s : cheapest) {
+                if (missing <= 0 || stopped >= most || !draft.hasRoom(false)) {
+                    break;
+                }
+                for (Victim v : s.victims()) {
+                    stop(s.on(), v);
+                    stopped++;
+                }
+                missing -= s.gain();
+                again = true;
+            }
+        }
+        return stopped;
+    }
+
+    /**
+     * The fewest of the cheapest stops that make room for a task more, or null. Counted by machine: a large task isn't
+     * helped by as many small ones that are stopped on different machines.
+     */
+    private Stops cheapest(Candidate c, JobSpec spec, boolean tight, boolean guaranteed) {
+        Room room = c.room().copy();
+        int before = room.slots(spec);
+        List<Victim> chosen = new ArrayList<>();
+        double lost = 0;
+        for (Victim v : c.victims()) {
             JobSpec s = v.job().spec();
-            if (s.priority().compareTo(spec.priority()) <= 0 || !allows(v.on(), spec) || !tight && !draft.quota().borrows(s)) {
+            boolean claim = tight || draft.quota().borrows(s) && (guaranteed || s.priority() == Priority.LOW);
+            if (s.priority().compareTo(spec.priority()) <= 0 || !claim) {
                 continue;
             }
-            i.remove();
-            stoppedOnce.add(v.placement().task());
-            draft.stop(v.on().machine().id, v.placement(), s.savesProgress() ? Placement.Stop.SAVE : Placement.Stop.NOW);
-            v.on().room().giveBack(s);
-            missing -= Math.max(1, (int) Math.floor(s.cpus() / Math.max(0.01, spec.cpus())));
-            stopped++;
+            chosen.add(v);
+            lost += v.lostS();
+            room.giveBack(s);
+            if (room.slots(spec) > before) {
+                return new Stops(c, chosen, room.slots(spec) - before, lost);
+            }
         }
-        return stopped;
+        return null;
+    }
+
+    private void stop(Candidate on, Victim v) {
+        JobSpec s = v.job().spec();
+        on.victims().remove(v);
+        on.room().giveBack(s);
+        stoppedOnce.add(v.placement().task());
+        draft.stop(on.machine().id, v.placement(), s.savesProgress() ? Placement.Stop.SAVE : Placement.Stop.NOW);
     }
 
     private static boolean allows(Candidate c, JobSpec job) {
--- a/src/main/java/garnetscale/core/line/Scarcity.java
+++ b/src/main/java/garnetscale/core/line/Scarcity.java
@@ -2,6 +2,7 @@
 
 import garnetscale.core.Params;
 import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.Priority;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.store.JobView;
 import java.util.HashMap;
@@ -14,7 +15,8 @@
  * Keeps scarce types for those who can run nowhere else. By the plain rule an urgent small job takes the room of
  * a large machine although small ones would do, and a large job behind it, which fits no other type, waits for
  * it to end. So a machine doesn't bid for a job that has the choice while one that hasn't waits for its type; a
- * job whose waiting objective is in danger has every machine again.
+ * job whose waiting objective is in danger has every machine again. Only what has begun and is less urgent than the one
+ * that waits leaves it the type for as long as it waits: idle work of hundreds of long tasks would fill all of it.
  */
 public final class Scarcity {
 
@@ -24,8 +26,8 @@
 
     private final Map<String, Double> patienceS = new HashMap<>();
     private final Map<String, Set<String>> typesOf = new HashMap<>();
-    /** The different sets of types that jobs are bound to: few, however many wait. */
-    private final Set<Set<String>> bound = new HashSet<>();
+    /** The different sets of types that jobs are bound to, with the most urgent of those: few, however many wait. */
+    private final Map<Set<String>, Priority> bound = new HashMap<>();
 
     public Scarcity(Params params) {
         for (Params.Objective o : params.objectives()) {
@@ -47,7 +49,7 @@
                 }
             }
             typesOf.put(job.spec().id(), fitting);
-            bound.add(fitting);
+            bound.merge(fitting, job.spec().priority(), (a, b) -> a.compareTo(b) < 0 ? a : b);
         }
     }
 
@@ -55,11 +57,15 @@
     public boolean mayTake(JobView job, MachineType type, long nowMs) {
         JobSpec spec = job.spec();
         Set<String> mine = typesOf.get(spec.id());
-        if (mine == null || nowMs - job.job().submittedMs() > 1000 * patienceS.getOrDefault(spec.jobClass(), DEFAULT_S)) {
+        if (mine == null) {
             return true;
         }
-        for (Set<String> other : bound) {
-            if (other.size() < mine.size() && other.contains(type.name()) && mine.containsAll(other)) {
+        boolean patient = nowMs - job.job().submittedMs() <= 1000 * patienceS.getOrDefault(spec.jobClass(), DEFAULT_S);
+        boolean begun = job.placedCount() + job.finishedCount() > 0;
+        for (Map.Entry<Set<String>, Priority> e : bound.entrySet()) {
+            Set<String> other = e.getKey();
+            if (other.size() < mine.size() && other.contains(type.name()) && mine.containsAll(other)
+                && (patient || begun && e.getValue().compareTo(spec.priority()) < 0)) {
                 return false;
             }
         }
