--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -50,8 +50,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long TICK_MS = 250;
     private static final long HEARTBEAT_MS = 1000;
-    /** What happens within this time is worked on together. */
-    private static final long TURN_MS = 8;
+    /**
+     * What happens within a 300th of a report's interval is worked on together, and a draft follows another after an 80th at
+     * the soonest: news comes by reports, and the more machines there are the more each turn and draft goes over.
+     */
+    private static final long TURNS_IN_REPORT = 300;
+    private static final long DRAFTS_IN_REPORT = 80;
+    private static final long LEAST_TURN_MS = 4;
     /** What the fleet lacks is worked out no more often than this while there is nothing to ask of the cloud. */
     private static final long FLEET_MS = 2 * TICK_MS;
     /** Drafts in a window; each goes through all that waits. */
@@ -67,6 +72,7 @@
     }
 
     private final Params params;
+    private final long turnMs;
     private final Settings settings;
     private final EventLoopGroup loop;
     private final Mirror mirror = new Mirror();
@@ -98,6 +104,7 @@
     Node(Settings settings) {
         this.settings = settings;
         this.params = settings.params();
+        this.turnMs = Math.max(LEAST_TURN_MS, params.reportMs() / TURNS_IN_REPORT);
         this.loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
         Blocks blocks = new Blocks(params);
         this.holder = new Holder(params, mirror, blocks, new Estimator(params.reportMs()));
@@ -310,7 +317,7 @@
             loop.next().schedule(() -> {
                 workQueued = false;
                 work();
-            }, Math.max(TURN_MS, restUntil - now()), TimeUnit.MILLISECONDS);
+            }, Math.max(turnMs, restUntil - now()), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -470,7 +477,7 @@
             // Nothing would be stored; what is drafted from a mirror that stands still only says things that aren't so.
             return;
         }
-        long gap = params.windowMs() / PLANS_IN_WINDOW * (fruitless ? FRUITLESS : 1);
+        long gap = Math.max(params.windowMs() / PLANS_IN_WINDOW, params.reportMs() / DRAFTS_IN_REPORT) * (fruitless ? FRUITLESS : 1);
         if (now - plannedAt < gap) {
             wakeAt(plannedAt + gap);
             return;
