--- a/src/main/java/garnetscale/app/Front.java
+++ b/src/main/java/garnetscale/app/Front.java
@@ -29,6 +29,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Front.class);
     /** The part of its sockets that may be users' who wait for the state service; more would only be answered late. */
     private static final int WAITING = 8;
+    private static final double QUESTIONS = 0.75;
 
     private final Params params;
     private final Mirror mirror;
@@ -74,8 +75,9 @@
         }
     }
 
-    private boolean crowded() {
-        return waiting > Math.max(WAITING, params.maxConnections() / WAITING);
+    /** Whether the part of those who may wait is used up; questions leave some of it to submissions and cancellations. */
+    private boolean crowded(double part) {
+        return waiting > part * Math.max(WAITING, params.maxConnections() / WAITING);
     }
 
     private static Reply error(int status, String why) {
@@ -96,7 +98,7 @@
             answer.accept(error(400, reason(e)));
             return;
         }
-        if (!mirror.loaded() || state.failing() || crowded()) {
+        if (!mirror.loaded() || state.failing() || crowded(1)) {
             answer.accept(later("the state service can't be asked"));
             return;
         }
@@ -184,7 +186,7 @@
             found.accept(Reply.of(200, answer(id, known)));
             return;
         }
-        if (!mirror.loaded() || state.failing() || crowded()) {
+        if (!mirror.loaded() || state.failing() || crowded(QUESTIONS)) {
             found.accept(null);
             return;
         }
@@ -241,7 +243,7 @@
             answer.accept(Reply.of(200, answer(id, known)));
             return;
         }
-        if (!mirror.loaded() || state.failing() || crowded() || tries > 3) {
+        if (!mirror.loaded() || state.failing() || crowded(1) || tries > 3) {
             answer.accept(later("the state service can't be asked"));
             return;
         }
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -49,16 +49,9 @@
     /** Parts of the limits that this node uses for itself: all nodes together stay below one. */
     private static final double WATCHES = 0.45;
     private static final double READS = 0.25;
-    private static final double WRITES = 0.9;
-    /** The parts of all changes that submissions and leader may have; together more than all, see {@link #shareWrites}. */
-    private static final double SUBMISSIONS = 0.55;
-    private static final double LEADER_LEAST = 0.45;
-    private static final double LEADER_MOST = 0.75;
-    /** What a node may take of its part of the submissions: users keep their connections and don't come evenly. */
-    private static final double UNEVEN = 1.5;
-    /** Submissions are counted over this time. */
-    private static final long COUNTED_MS = 500;
-    private static final double RATE_GAIN = 0.4;
+    /** What may be saved up of a part of the changes, in seconds. */
+    private static final double SAVED_S = 0.8;
+    private static final double SUBMISSIONS_SAVED_S = 1.6;
 
     private final Params params;
     private final EventLoop loop;
@@ -70,9 +63,7 @@
     private final Budget reads;
     private final Budget writes;
     private final Budget submissions;
-    private long countedAt;
-    private long counted;
-    private double submitted;
+    private final WriteShares shares;
     private List<Consumer<Boolean>> waiting = new ArrayList<>();
     private boolean syncing;
     private boolean syncQueued;
@@ -93,7 +84,8 @@
         double node = params.stateRps() / params.members().size();
         this.watches = new Budget(node * WATCHES, node * WATCHES, now);
         this.reads = new Budget(node * READS, node * READS, now);
-        this.writes = new Budget(params.stateWritesPerS() * WRITES * LEADER_MOST, params.stateWritesPerS() * WRITES * 0.6, now);
+        this.shares = new WriteShares(params.stateWritesPerS());
+        this.writes = new Budget(shares.leaderPerS(), SAVED_S * shares.leaderPerS(), now);
         this.submissions = new Budget(1, 1, now);
         this.confirmedAt = now - 1_000_000;
     }
@@ -414,27 +406,11 @@
         });
     }
 
-    /**
-     * The leader makes room for submissions: what it writes less often goes into larger transactions, while a submission
-     * that is refused comes a second late. Every node sees all new jobs in its mirror.
-     */
-    private void shareWrites(long now) {
-        long passed = now - countedAt;
-        if (passed < COUNTED_MS) {
-            return;
-        }
-        double rate = 1000.0 * (mirror.jobsAdded() - counted) / passed;
-        counted = mirror.jobsAdded();
-        countedAt = now;
-        submitted += RATE_GAIN * (rate - submitted);
-        double all = params.stateWritesPerS() * WRITES;
-        double leader = Math.min(LEADER_MOST * all, Math.max(LEADER_LEAST * all, all - 1.25 * Math.max(rate, submitted)));
-        writes.resize(leader, 0.8 * leader);
-    }
-
     /** A leader's transaction; waits for its turn within the limits. */
     void lead(Txn txn, BiConsumer<TxnResult, Long> done) {
-        shareWrites(now());
+        if (shares.observe(now(), mirror.jobsAdded())) {
+            writes.resize(shares.leaderPerS(), SAVED_S * shares.leaderPerS());
+        }
         long wait = writes.waitMs(now(), txn.ops().size());
         if (wait > 0) {
             loop.schedule(() -> lead(txn, done), wait, TimeUnit.MILLISECONDS);
@@ -444,15 +420,10 @@
         send(txn, done);
     }
 
-    /** Users come to the nodes that are left, and with them the part of the limit that the others have no use for. */
-    private void shareSubmissions(int nodes) {
-        double each = params.stateWritesPerS() * WRITES * UNEVEN * SUBMISSIONS / Math.max(1, nodes);
-        submissions.resize(each + 1, each * 1.6 + 1);
-    }
-
     /** A user's transaction; refused at once when the limits are used up. */
     void submit(Txn txn, BiConsumer<TxnResult, Long> done) {
-        shareSubmissions(mirror.nodes().size());
+        double mine = shares.submissionsPerS(mirror.nodes().size());
+        submissions.resize(mine, SUBMISSIONS_SAVED_S * mine);
         if (!submissions.take(now(), txn.ops().size())) {
             done.accept(TxnResult.REFUSED, -1L);
             return;
