--- a/src/main/java/garnetscale/core/lead/Reserve.java
+++ b/src/main/java/garnetscale/core/lead/Reserve.java
@@ -27,13 +27,13 @@
     private final Map<String, Double> sizes = new HashMap<>();
     private final Set<String> seen = new HashSet<>();
     private Priority lowest = Priority.CRITICAL;
-    /** What the tight classes ask for, and how long it takes to get back what others borrow: two reports. */
+    /** What the tight classes ask for, and how long it takes to get back what others borrow: three reports. */
     private double cpusPerS;
     private final double aheadS;
     private long observedAt = Long.MIN_VALUE;
 
     Reserve(Params params) {
-        aheadS = 2 * params.reportMs() / 1000.0;
+        aheadS = 3 * params.reportMs() / 1000.0;
         for (Params.Objective o : params.objectives()) {
             if (o.kind().equals("wait") && o.withinS() * 1000 <= 2 * params.reportMs()) {
                 tight.put(o.jobClass(), o.withinS());
