--- a/src/test/java/garnetscale/core/sim/Rules.java
+++ b/src/test/java/garnetscale/core/sim/Rules.java
@@ -25,6 +25,8 @@
     private final long cancelMs;
     private final LongSupplier clock;
     int starts;
+    /** Starts by job. */
+    final Map<String, Integer> startsOf = new HashMap<>();
 
     Rules(Map<String, Double> limits, long cancelMs, LongSupplier clock) {
         this.limits = limits;
@@ -39,6 +41,7 @@
     @Override
     public void began(String machine, TaskId task, long attempt) {
         starts++;
+        startsOf.merge(task.job(), 1, Integer::sum);
         String other = running.put(task, machine);
         if (other != null) {
             broke("ran_twice", task + " starts on " + machine + " while on " + other);
--- a/src/test/java/garnetscale/core/sim/SimulationTest.java
+++ b/src/test/java/garnetscale/core/sim/SimulationTest.java
@@ -20,8 +20,21 @@
     }
 
     private static World day(long seed, World.Fault fault, World.Shape shape, int count, int most) {
+        return day(seed, fault, shape, count, most, false);
+    }
+
+    private static World day(long seed, World.Fault fault, World.Shape shape, int count, int most, boolean guests) {
         World w = new World(seed, fault, shape);
         List<String> jobs = new ArrayList<>();
+        if (guests) {
+            for (int i = 0; i < 150; i++) {
+                String id = "wk-swarm" + i;
+                jobs.add(id);
+                w.at(40_000 + w.random.nextInt(10_000), () -> w.submit(id, "blue", 1, 0.25, 15));
+            }
+            jobs.add("wk-giant");
+            w.at(30_000, () -> w.submit("wk-giant", "blue", 1500, 0.5, 1));
+        }
         for (int i = 0; i < count; i++) {
             String id = "wk-" + i;
             jobs.add(id);
@@ -57,7 +70,7 @@
         String node = w.nodes.get(w.random.nextInt(w.shape.nodes())).name;
         String worker = w.workers.get(w.random.nextInt(w.workers.size())).id;
         long ms = 1000 + w.random.nextInt(40_000);
-        switch (w.random.nextInt(15)) {
+        switch (w.random.nextInt(17)) {
             case 0 -> w.nodes.get(w.random.nextInt(w.shape.nodes())).crash(w.random.nextInt(3) == 0 ? 100 : 5000);
             case 1 -> w.nodes.forEach(n -> n.crash(4000 + w.random.nextInt(2000)));
             case 2 -> w.cut(node, ms);
@@ -86,6 +99,17 @@
                 w.cut(x.id + ">" + node, ms);
                 w.cut(node + ">" + x.id, ms);
             });
+            // The leader stands still, twice, and something else happens meanwhile.
+            case 14 -> {
+                w.freeze(w.leader(), ms / 2);
+                w.at(ms / 4, () -> trouble(w));
+                w.at(ms / 2 + 500, () -> w.freeze(w.leader(), ms / 2));
+            }
+            // The leader loses the state service one way, and a controller ends before it heals.
+            case 15 -> {
+                w.cut(w.random.nextBoolean() ? w.leader() + ">state" : "state>" + w.leader(), ms);
+                w.at(ms / 2, () -> w.nodes.get(w.random.nextInt(w.shape.nodes())).crash(100 + w.random.nextInt(5000)));
+            }
             default -> w.cut(node + ">" + worker, ms);
         }
     }
@@ -101,6 +125,32 @@
         assertTrue(starts > 20 * SEEDS, "only " + starts + " starts");
     }
 
+    /** A swarm of single tasks and an array many times the fleet, which needs several parts of a finished set. */
+    @Test
+    void noRuleIsBrokenByGuests() {
+        for (long seed = 1; seed <= 4; seed++) {
+            World w = day(seed, World.Fault.NONE, World.Shape.SMALL, 14, 12, true);
+            assertEquals(List.of(), w.rules.broken, "seed " + seed);
+            assertTrue(w.rules.starts > 1650, "only " + w.rules.starts + " starts");
+        }
+    }
+
+    /** Submitted with a mistake, a job used to have all its tasks started again after each pause until it was cancelled. */
+    @Test
+    void jobsThatFailEverywhereCostFewStarts() {
+        int tasks = 0;
+        int starts = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            World w = day(seed, World.Fault.NONE);
+            for (String id : w.broken) {
+                tasks += w.rules.jobs.get(id).tasks();
+                starts += w.rules.startsOf.getOrDefault(id, 0);
+            }
+        }
+        assertTrue(tasks > 50, "only " + tasks + " such tasks");
+        assertTrue(starts < 4 * tasks, starts + " starts of " + tasks + " tasks that fail");
+    }
+
     /** A machine's first sign of a new session was an answer to a command, and it was called dead at once. */
     @Test
     void aNewSessionHasItsWholeLease() {
--- a/src/test/java/garnetscale/core/sim/World.java
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -176,6 +176,11 @@
         }
     }
 
+    /** A node that believes that it leads, or any when none does. */
+    String leader() {
+        return nodes.stream().filter(n -> n.up && n.leader.leadingTerm() >= 0).findFirst().orElse(nodes.get(0)).name;
+    }
+
     /** The node stands still while time goes on: what comes waits for it, and its timers fire afterwards. */
     void freeze(String node, long ms) {
         frozenUntil.put(node, now + ms);
