--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -322,7 +322,7 @@
             judgeSpeed(now);
         }
         drain(now, draft);
-        preempt(now, draft);
+        preempt(now, draft, sequence == before);
         if (sequence == before) {
             restartLate(now, draft);
         }
@@ -437,19 +437,23 @@
 
     /**
      * Stops are for those who find no room: for jobs that must start at once, for work within a guarantee, for which what
-     * others borrow is given back, and for any work where idle work, of the lowest priority, has the room.
+     * others borrow is given back, and for any work where idle work, of the lowest priority, has the room. In a turn that
+     * awarded something only idle work is reason to look: other work loses more by it than the wait for room costs.
      */
-    private void preempt(long now, Draft draft) {
+    private void preempt(long now, Draft draft, boolean idleTurn) {
         if (now < preemptAt) {
             return;
         }
-        preemptAt = now + params.windowMs();
+        boolean idle = mirror.jobs().stream().anyMatch(j -> j.spec().priority() == Priority.LOW && j.placedCount() > 0);
+        if (!idle && !idleTurn) {
+            return;
+        }
+        preemptAt = now + (idle ? params.windowMs() : params.windowMs() / 2);
         int looked = 0;
         boolean found = false;
         Preemption preemption = null;
-        boolean idle = mirror.jobs().stream().anyMatch(j -> j.spec().priority() == Priority.LOW && j.placedCount() > 0);
         for (JobView job : Line.sort(mirror.jobs(), order, now + wallOffset)) {
-            boolean tight = reserve.isTight(job);
+            boolean tight = idleTurn && reserve.isTight(job);
             int waiting = job.unstarted() - draft.awarded(job.spec().id());
             boolean guaranteed = draft.quota().guarantees(job.spec());
             boolean open = !auction.closed(now, job) && !auction.bids(job.spec().id()).isEmpty();
@@ -472,7 +476,7 @@
         }
         if (looked > 0 && !found) {
             // A full fleet without anybody to stop: it was gone over for nothing, and soon would be again.
-            preemptAt = now + 4 * params.windowMs();
+            preemptAt = now + (idle ? 4 : 2) * params.windowMs();
         }
     }
 
