--- a/src/main/java/garnetscale/app/CloudLink.java
+++ b/src/main/java/garnetscale/app/CloudLink.java
@@ -57,7 +57,7 @@
         } else if (call instanceof CloudCall.Page p) {
             send(HttpMethod.GET, CloudCodec.pagePath(p), null, r -> {
                 CloudCodec.Page page = CloudCodec.page(r.body());
-                fleet.onPage(StateLink.now(), page.machines(), page.more());
+                fleet.onPage(Node.now(), page.machines(), page.more());
                 fleet.failed().forEach(dead);
                 if (!page.more()) {
                     listed.run();
@@ -66,8 +66,8 @@
         } else if (call instanceof CloudCall.Rent rent) {
             // A rental without an answer may still be carried out; its machines then show in the list.
             send(HttpMethod.POST, "/machines", CloudCodec.rent(rent),
-                r -> fleet.onRented(StateLink.now(), rent, CloudCodec.rented(r.body())),
-                r -> fleet.onRefused(StateLink.now(), rent));
+                r -> fleet.onRented(Node.now(), rent, CloudCodec.rented(r.body())),
+                r -> fleet.onRefused(Node.now(), rent));
         } else if (call instanceof CloudCall.Delete d) {
             send(HttpMethod.POST, "/machines/delete", CloudCodec.delete(d), r -> {
                 fleet.onDeleted(d.machines());
--- a/src/main/java/garnetscale/app/Front.java
+++ b/src/main/java/garnetscale/app/Front.java
@@ -10,11 +10,13 @@
 import garnetscale.core.store.Mirror;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.Txn;
+import garnetscale.core.store.TxnResult;
 import garnetscale.net.Reply;
 import garnetscale.wire.Cbor;
 import garnetscale.wire.UserCodec;
 import java.io.IOException;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
@@ -31,15 +33,27 @@
     private static final int WAITING = 8;
     private static final double QUESTIONS = 0.75;
 
+    /** The state service as users' requests need it. */
+    interface Store extends Archive.Store {
+        /** Whether it refuses or doesn't answer, by the last requests. */
+        boolean failing();
+
+        /** Calls back once the mirror is as new as a request sent after this call; false when it can't be. */
+        void sync(Consumer<Boolean> done);
+
+        /** Sends a transaction, or refuses it at once when the limits are used up. */
+        void submit(Txn txn, BiConsumer<TxnResult, Long> done);
+    }
+
     private final Params params;
     private final Mirror mirror;
-    private final StateLink state;
+    private final Store state;
     private final Function<JobView, String> why;
     private final Consumer<String> cancelled;
     private int waiting;
     private final Archive archive;
 
-    Front(Params params, Mirror mirror, StateLink state, Function<JobView, String> why, Consumer<String> cancelled) {
+    Front(Params params, Mirror mirror, Store state, Function<JobView, String> why, Consumer<String> cancelled) {
         this.params = params;
         this.mirror = mirror;
         this.state = state;
--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -35,6 +35,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -111,8 +112,7 @@
         this.leader = new Leader(params, mirror, blocks, LOG::info);
         this.pipeline = new Pipeline(mirror, leader);
         this.fleet = new Fleet(params, mirror, LOG::info);
-        this.state = new StateLink(params, loop.next(),
-            new HttpClient(loop, 6, 1000), settings.state(), mirror, this);
+        this.state = new StateLink(params, stateIo(), new SplittableRandom(), mirror, this);
         this.cloud = new CloudLink(params, new HttpClient(loop, 1, 1000), settings.cloud(), fleet, this::onTypes,
             this::onDead, this::onListed);
         this.front = new Front(params, mirror, state, this::why, this::onCancelled);
@@ -122,8 +122,28 @@
         this.server = new HttpServer(loop, sockets, params.maxConnections(), this::onRequest);
     }
 
-    private static long now() {
-        return StateLink.now();
+    static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private StateLink.Io stateIo() {
+        HttpClient http = new HttpClient(loop, 6, 1000);
+        return new StateLink.Io() {
+            @Override
+            public long now() {
+                return Node.now();
+            }
+
+            @Override
+            public void after(long ms, Runnable run) {
+                loop.next().schedule(run, ms, TimeUnit.MILLISECONDS);
+            }
+
+            @Override
+            public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Consumer<HttpResult> done) {
+                http.call(settings.state(), method, path, body, timeoutMs, done);
+            }
+        };
     }
 
     /** Listens and starts; throws when an address is in use. */
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -9,19 +9,16 @@
 import garnetscale.core.store.Txn;
 import garnetscale.core.store.TxnResult;
 import garnetscale.net.Budget;
-import garnetscale.net.HttpClient;
 import garnetscale.net.HttpResult;
 import garnetscale.wire.StateCodec;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,7 +26,7 @@
  * The one way to the state service: keeps the process's lease and the mirror, and sends everything else within
  * this node's part of the limits. Renewals go first; what can't be sent soon is refused at once.
  */
-final class StateLink implements Archive.Store {
+final class StateLink implements Front.Store {
 
     /** What the link tells the node. */
     interface Listener {
@@ -40,6 +37,17 @@
         void leased(long lease);
     }
 
+    /** The connection to the service, and time. */
+    interface Io {
+        /** Milliseconds of a steady clock. */
+        long now();
+
+        void after(long ms, Runnable run);
+
+        /** Sends a request; {@code body} may be null. Calls back once. */
+        void call(HttpMethod method, String path, byte[] body, long timeoutMs, Consumer<HttpResult> done);
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(StateLink.class);
     private static final long TIMEOUT_MS = 2000;
     private static final long WATCH_MS = 5000;
@@ -54,9 +62,8 @@
     private static final double SUBMISSIONS_SAVED_S = 1.6;
 
     private final Params params;
-    private final EventLoop loop;
-    private final HttpClient http;
-    private final String host;
+    private final Io io;
+    private final RandomGenerator random;
     private final Mirror mirror;
     private final Listener listener;
     private final Budget watches;
@@ -73,11 +80,10 @@
     private long confirmedAt;
     private long failingSince = -1;
 
-    StateLink(Params params, EventLoop loop, HttpClient http, String host, Mirror mirror, Listener listener) {
+    StateLink(Params params, Io io, RandomGenerator random, Mirror mirror, Listener listener) {
         this.params = params;
-        this.loop = loop;
-        this.http = http;
-        this.host = host;
+        this.io = io;
+        this.random = random;
         this.mirror = mirror;
         this.listener = listener;
         long now = now();
@@ -90,15 +96,22 @@
         this.confirmedAt = now - 1_000_000;
     }
 
-    static long now() {
-        return System.nanoTime() / 1_000_000;
+    private long now() {
+        return io.now();
     }
 
     void start() {
         acquire();
         list();
-        loop.scheduleWithFixedDelay(this::renew, params.nodeTtlMs() / 4, params.nodeTtlMs() / 4, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(() -> sync(ok -> { }), CONFIRM_MS, CONFIRM_MS, TimeUnit.MILLISECONDS);
+        every(params.nodeTtlMs() / 4, this::renew);
+        every(CONFIRM_MS, () -> sync(ok -> { }));
+    }
+
+    private void every(long ms, Runnable run) {
+        io.after(ms, () -> {
+            run.run();
+            every(ms, run);
+        });
     }
 
     /** How old the newest request is that the service answered. */
@@ -106,8 +119,8 @@
         return now() - confirmedAt;
     }
 
-    /** Whether the service refuses or doesn't answer, by the last requests. */
-    boolean failing() {
+    @Override
+    public boolean failing() {
         return failingSince >= 0 && now() - failingSince > 300;
     }
 
@@ -126,13 +139,13 @@
     }
 
     private void after(long ms, Runnable run) {
-        loop.schedule(run, ms / 2 + ThreadLocalRandom.current().nextLong(ms / 2 + 1), TimeUnit.MILLISECONDS);
+        io.after(ms / 2 + random.nextLong(ms / 2 + 1), run);
     }
 
     // ---- lease
 
     private void acquire() {
-        http.call(host, HttpMethod.POST, "/holds", StateCodec.lease(params.nodeTtlMs()), TIMEOUT_MS, r -> {
+        io.call(HttpMethod.POST, "/holds", StateCodec.lease(params.nodeTtlMs()), TIMEOUT_MS, r -> {
             if (!r.is(200)) {
                 failed("lease", r);
                 after(400, this::acquire);
@@ -185,7 +198,7 @@
             return;
         }
         long mine = lease;
-        http.call(host, HttpMethod.POST, "/holds/" + mine + "/touch", null, params.nodeTtlMs() / 2, r -> {
+        io.call(HttpMethod.POST, "/holds/" + mine + "/touch", null, params.nodeTtlMs() / 2, r -> {
             if (mine != lease) {
                 return;
             }
@@ -209,7 +222,7 @@
     private void listPage(String since, List<Change> sofar, long ledger) {
         String path = "/keys?starts=" + Keys.MIRRORED + "&limit=" + PAGE + (since.isEmpty() ? "" : "&since=" + since);
         long sentAt = now();
-        http.call(host, HttpMethod.GET, path, null, 2 * TIMEOUT_MS, r -> {
+        io.call(HttpMethod.GET, path, null, 2 * TIMEOUT_MS, r -> {
             if (!r.is(200)) {
                 failed("listing", r);
                 after(500, () -> listPage(since, sofar, ledger));
@@ -269,7 +282,7 @@
         }
         long wait = watches.waitMs(now(), 1);
         if (wait > 0) {
-            loop.schedule(this::watch, wait, TimeUnit.MILLISECONDS);
+            io.after(wait, this::watch);
             return;
         }
         watches.force(now(), 1);
@@ -287,7 +300,7 @@
     private void follow(long waitMs, long timeoutMs, Consumer<Boolean> done) {
         long sentAt = now();
         String path = "/follow?starts=" + Keys.MIRRORED + "&since=" + mirror.ledger() + "&wait_ms=" + waitMs;
-        http.call(host, HttpMethod.GET, path, null, timeoutMs, r -> {
+        io.call(HttpMethod.GET, path, null, timeoutMs, r -> {
             if (r.is(410)) {
                 if (!listing) {
                     list();
@@ -322,8 +335,9 @@
         });
     }
 
-    /** Calls back once the mirror is as new as a request sent after this call; false at once when it can't be. */
-    void sync(Consumer<Boolean> done) {
+    /** False at once when it can't be asked. */
+    @Override
+    public void sync(Consumer<Boolean> done) {
         if (failing() && syncing) {
             done.accept(false);
             return;
@@ -347,10 +361,10 @@
         long wait = watches.waitMs(now(), 1);
         if (wait > 0) {
             syncQueued = true;
-            loop.schedule(() -> {
+            io.after(wait, () -> {
                 syncQueued = false;
                 drainSync();
-            }, wait, TimeUnit.MILLISECONDS);
+            });
             return;
         }
         watches.force(now(), 1);
@@ -370,7 +384,7 @@
     public void whenReadable(Runnable run) {
         long wait = reads.waitMs(now(), 1);
         if (wait > 0) {
-            loop.schedule(() -> whenReadable(run), wait, TimeUnit.MILLISECONDS);
+            io.after(wait, () -> whenReadable(run));
         } else {
             run.run();
         }
@@ -381,7 +395,7 @@
         reads.force(now(), 1);
         Txn txn = new Txn();
         keys.forEach(k -> txn.guard(k, 0));
-        http.call(host, HttpMethod.POST, "/multi", StateCodec.txn(txn), 1500, r -> {
+        io.call(HttpMethod.POST, "/multi", StateCodec.txn(txn), 1500, r -> {
             try {
                 done.accept(r.is(200) ? Set.of() : r.is(409) ? StateCodec.failed(r.body()) : null);
             } catch (IOException e) {
@@ -393,7 +407,7 @@
     @Override
     public void get(String key, BiConsumer<Boolean, Object> done) {
         reads.force(now(), 1);
-        http.call(host, HttpMethod.GET, "/keys/" + key, null, 1500, r -> {
+        io.call(HttpMethod.GET, "/keys/" + key, null, 1500, r -> {
             try {
                 if (r.is(200)) {
                     done.accept(true, StateCodec.value(r.body()));
@@ -413,15 +427,15 @@
         }
         long wait = writes.waitMs(now(), txn.ops().size());
         if (wait > 0) {
-            loop.schedule(() -> lead(txn, done), wait, TimeUnit.MILLISECONDS);
+            io.after(wait, () -> lead(txn, done));
             return;
         }
         writes.force(now(), txn.ops().size());
         send(txn, done);
     }
 
-    /** A user's transaction; refused at once when the limits are used up. */
-    void submit(Txn txn, BiConsumer<TxnResult, Long> done) {
+    @Override
+    public void submit(Txn txn, BiConsumer<TxnResult, Long> done) {
         double mine = shares.submissionsPerS(mirror.nodes().size());
         submissions.resize(mine, SUBMISSIONS_SAVED_S * mine);
         if (!submissions.take(now(), txn.ops().size())) {
@@ -433,7 +447,7 @@
 
     /** A transaction that can't wait, such as an election. */
     void send(Txn txn, BiConsumer<TxnResult, Long> done) {
-        http.call(host, HttpMethod.POST, "/multi", StateCodec.txn(txn), TIMEOUT_MS, r -> {
+        io.call(HttpMethod.POST, "/multi", StateCodec.txn(txn), TIMEOUT_MS, r -> {
             try {
                 if (r.is(200)) {
                     worked();
--- a/src/main/java/garnetscale/net/HttpResult.java
+++ b/src/main/java/garnetscale/net/HttpResult.java
@@ -14,8 +14,8 @@
         return new HttpResult(Outcome.ANSWERED, status, body);
     }
 
-    static final HttpResult NOT_SENT = new HttpResult(Outcome.NOT_SENT, 0, new byte[0]);
-    static final HttpResult NO_ANSWER = new HttpResult(Outcome.NO_ANSWER, 0, new byte[0]);
+    public static final HttpResult NOT_SENT = new HttpResult(Outcome.NOT_SENT, 0, new byte[0]);
+    public static final HttpResult NO_ANSWER = new HttpResult(Outcome.NO_ANSWER, 0, new byte[0]);
 
     public boolean is(int wanted) {
         return outcome == Outcome.ANSWERED && status == wanted;
--- a/src/main/java/garnetscale/standin/StandIns.java
+++ b/src/main/java/garnetscale/standin/StandIns.java
@@ -6,16 +6,13 @@
 import garnetscale.core.machine.Order;
 import garnetscale.core.machine.Report;
 import garnetscale.core.machine.ReportedTask;
-import garnetscale.core.store.Change;
 import garnetscale.core.store.Keys;
 import garnetscale.core.store.Records;
-import garnetscale.core.store.Txn;
 import garnetscale.net.HttpClient;
 import garnetscale.net.HttpServer;
 import garnetscale.net.Reply;
 import garnetscale.net.Sockets;
 import garnetscale.wire.Cbor;
-import garnetscale.wire.UserCodec;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
@@ -38,14 +35,12 @@
 public final class StandIns {
 
     private static final int MOST_CONNECTIONS = 1000;
+    private static final long KEPT = 10_000;
     private static final MachineType TYPE = new MachineType("small-4", 4, 0, 16, 20, 10, 0.4, 0.1, 5, List.of("a"));
 
-    private record Waiting(String prefix, long since, long until, Consumer<Reply> answer) {
-    }
-
     private final EventLoopGroup loop;
     private final StateModel state = new StateModel();
-    private final List<Waiting> watches = new ArrayList<>();
+    private final StateService service = new StateService(state, StandIns::now, KEPT);
     private final List<WorkerModel> workers = new ArrayList<>();
     private final Map<String, Integer> target = new HashMap<>();
     private final List<String> controllers;
@@ -70,9 +65,9 @@
     public String startState(String hostPort) throws IOException {
         loop.next().scheduleAtFixedRate(() -> {
             state.expire(now());
-            wake();
+            service.wake();
         }, 50, 50, TimeUnit.MILLISECONDS);
-        return listen(hostPort, this::onState);
+        return listen(hostPort, service::handle);
     }
 
     /** Starts to serve the cloud. */
@@ -113,92 +108,10 @@
         return e == null ? null : Records.job(id, e.value()).spec();
     }
 
-    // ---- state service
-
-    private void onState(String method, String uri, byte[] body, Consumer<Reply> answer) {
-        QueryStringDecoder q = new QueryStringDecoder(uri);
-        String path = q.path();
-        try {
-            if (path.equals("/multi")) {
-                answer.accept(commit(Cbor.readMap(body)));
-            } else if (path.equals("/holds")) {
-                long ttl = ((Number) Cbor.readMap(body).get("ttl_ms")).longValue();
-                answer.accept(ok(Map.of("tenure", state.grant(now(), ttl))));
-            } else if (path.startsWith("/holds/") && path.endsWith("/touch")) {
-                long id = Long.parseLong(path.substring(7, path.length() - 6));
-                answer.accept(state.touch(now(), id) ? ok(Map.of()) : Reply.of(404));
-            } else if (path.startsWith("/holds/") && method.equals("DELETE")) {
-                answer.accept(state.end(Long.parseLong(path.substring(7))) ? ok(Map.of()) : Reply.of(404));
-            } else if (path.equals("/follow")) {
-                long wait = Long.parseLong(param(q, "wait_ms", "0"));
-                watches.add(new Waiting(param(q, "starts", ""), Long.parseLong(param(q, "since", "0")), now() + wait,
-                    answer));
-            } else if (path.equals("/keys")) {
-                int limit = Integer.parseInt(param(q, "limit", "1000"));
-                List<Change> page = state.list(param(q, "starts", ""), param(q, "since", null), limit + 1);
-                boolean more = page.size() > limit;
-                List<Object> pairs = new ArrayList<>();
-                for (Change c : more ? page.subList(0, limit) : page) {
-                    pairs.add(Map.of("key", c.key(), "v", c.value(), "stamp", c.stamp()));
-                }
-                answer.accept(ok(Map.of("pairs", pairs, "has_next", more, "ledger", state.ledger())));
-            } else if (path.startsWith("/keys/")) {
-                StateModel.Entry e = state.get(path.substring(6));
-                answer.accept(e == null ? Reply.of(404, Cbor.write(Map.of("ledger", state.ledger())))
-                    : ok(Map.of("key", path.substring(6), "v", e.value(), "stamp", e.stamp())));
-            } else {
-                answer.accept(Reply.of(404));
-            }
-        } catch (IOException | RuntimeException e) {
-            answer.accept(Reply.of(400, UserCodec.error(String.valueOf(e.getMessage()))));
-        }
-        wake();
-    }
-
-    private static String param(QueryStringDecoder q, String name, String other) {
-        List<String> v = q.parameters().get(name);
-        return v == null ? other : v.get(0);
-    }
-
     private static Reply ok(Map<String, ?> body) {
         return Reply.of(200, Cbor.write(body));
     }
 
-    private Reply commit(Map<?, ?> body) {
-        Txn txn = new Txn();
-        for (Object o : (List<?>) body.get("guards")) {
-            Map<?, ?> g = (Map<?, ?>) o;
-            txn.guard((String) g.get("key"), ((Number) g.get("stamp")).longValue());
-        }
-        for (Object o : (List<?>) body.get("then")) {
-            Map<?, ?> op = (Map<?, ?>) o;
-            if (op.containsKey("set")) {
-                long lease = op.get("tenure") instanceof Number n ? n.longValue() : 0;
-                txn.put((String) op.get("set"), op.get("v"), lease);
-            } else {
-                txn.delete((String) op.get("remove"));
-            }
-        }
-        int status = state.commit(txn);
-        return Reply.of(status, Cbor.write(Map.of("ledger", state.ledger())));
-    }
-
-    private void wake() {
-        for (Waiting w : List.copyOf(watches)) {
-            List<Change> changes = state.changes(w.prefix(), w.since());
-            if (changes.isEmpty() && now() < w.until()) {
-                continue;
-            }
-            watches.remove(w);
-            List<Object> log = new ArrayList<>();
-            for (Change c : changes) {
-                log.add(c.value() == null ? Map.of("remove", c.key(), "stamp", c.stamp())
-                    : Map.of("set", c.key(), "v", c.value(), "stamp", c.stamp()));
-            }
-            w.answer().accept(ok(Map.of("ledger", state.ledger(), "log", log)));
-        }
-    }
-
     // ---- cloud
 
     private void onCloud(String method, String uri, byte[] body, Consumer<Reply> answer) {
--- a/src/main/java/garnetscale/standin/WorkerModel.java
+++ b/src/main/java/garnetscale/standin/WorkerModel.java
@@ -116,6 +116,12 @@
         }
     }
 
+    /** Goes on after the machine stood still: its tasks weren't executed meanwhile, and its lease may be over. */
+    public void goOn(long now, long stoodStillMs) {
+        tasks.values().forEach(t -> t.until += stoodStillMs);
+        advance(now);
+    }
+
     private void exit(Running t, ExitCause cause) {
         ended(t, cause == ExitCause.DONE);
         t.state = TaskState.EXITED;
--- a/src/test/java/garnetscale/core/sim/Rules.java
+++ b/src/test/java/garnetscale/core/sim/Rules.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** PROTOCOL's rules, watched from outside: what truly runs where, whatever the controllers believe. */
@@ -24,12 +26,19 @@
     private final Map<String, Double> limits;
     private final long cancelMs;
     private final LongSupplier clock;
+    private final Map<String, String> zones;
+    /** Whether a stored placement names an attempt on a machine: nothing may run without one. */
+    BiPredicate<String, Long> placed = (machine, attempt) -> true;
+    /** Told of each task that completed. */
+    Consumer<TaskId> onDone = task -> { };
     int starts;
+    int startsAfterCancel;
     /** Starts by job. */
     final Map<String, Integer> startsOf = new HashMap<>();
 
-    Rules(Map<String, Double> limits, long cancelMs, LongSupplier clock) {
+    Rules(Map<String, Double> limits, Map<String, String> zones, long cancelMs, LongSupplier clock) {
         this.limits = limits;
+        this.zones = zones;
         this.cancelMs = cancelMs;
         this.clock = clock;
     }
@@ -47,16 +56,23 @@
             broke("ran_twice", task + " starts on " + machine + " while on " + other);
         }
         began.put(task, clock.getAsLong());
+        if (!placed.test(machine, attempt)) {
+            broke("unplaced", task + " starts on " + machine + " as attempt " + attempt);
+        }
         JobSpec job = jobs.get(task.job());
         double used = 0;
         for (TaskId t : running.keySet()) {
             JobSpec j = jobs.get(t.job());
             used += j.team().equals(job.team()) ? j.cpus() : 0;
+            if (job.oneZone() && t.job().equals(task.job()) && !zones.get(running.get(t)).equals(zones.get(machine))) {
+                broke("wrong_place", task + " starts on " + machine + " while " + t + " is on " + running.get(t));
+            }
         }
         if (used > limits.get(job.team()) + 1e-6) {
             broke("quota", job.team() + " uses " + used);
         }
         Long cancelled = cancelledAt.get(task.job());
+        startsAfterCancel += cancelled != null ? 1 : 0;
         if (cancelled != null && clock.getAsLong() - cancelled > cancelMs) {
             broke("ran_cancelled", task + " starts");
         }
@@ -67,9 +83,29 @@
         running.remove(task, machine);
         if (done) {
             completed.add(task);
+            onDone.accept(task);
         }
     }
 
+    /** Tasks that run now, and where. */
+    Map<TaskId, String> running() {
+        return Map.copyOf(running);
+    }
+
+    boolean isCancelled(String job) {
+        return cancelledAt.containsKey(job);
+    }
+
+    /** Whether every task of the job has completed somewhere. */
+    boolean isComplete(String job) {
+        return java.util.stream.IntStream.range(0, jobs.get(job).tasks()).allMatch(i -> completed.contains(new TaskId(job, i)));
+    }
+
+    /** CPUs that a team's tasks use now. */
+    double used(String team) {
+        return running.keySet().stream().map(t -> jobs.get(t.job())).filter(j -> j.team().equals(team)).mapToDouble(JobSpec::cpus).sum();
+    }
+
     /** A user was told of a state; it may never be gone back on. */
     void told(String job, String state) {
         String before = told.put(job, state);
--- a/src/test/java/garnetscale/core/sim/World.java
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -34,6 +34,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -105,6 +106,13 @@
     private final Map<String, Long> cutUntil = new HashMap<>();
     private final Map<String, Long> frozenUntil = new HashMap<>();
     private final Map<String, Worker> byId = new HashMap<>();
+    private final Map<String, String> zones = new HashMap<>();
+    private final Mirror observer = new Mirror();
+    private final Map<String, Long> refusedUntil = new HashMap<>();
+    private final List<Report> kept = new ArrayList<>();
+    private final Map<String, Long> blockTerms = new HashMap<>();
+    private final Map<String, Long> blockMovedAt = new HashMap<>();
+    final Map<String, Integer> met = new TreeMap<>();
     private final Fault fault;
     final Shape shape;
     private long order;
@@ -112,24 +120,60 @@
     long outageUntil;
     long copiesUntil;
     double loss = 0.002;
+    /** Besides following by short requests, nodes watch by ones that hang open, also through a refusal. */
+    boolean watches;
+    /** Until then reports are kept, and so long after a new leader's beginning their copies reach every controller. */
+    long keepUntil;
+    long keptDelay;
+    private long ledTerm;
+    /** Until then this share of transactions gets no answer: carried out at once, or 2 to 12 s late. */
+    long lateUntil;
+    double lateShare;
+    boolean lateAtOnce;
+    /** Until then an answer of the state service takes so much longer. */
+    long slowUntil;
+    int slowMs;
+    /** Until then these machines reach no controller, while direct requests reach them. */
+    private final Map<String, Long> muteUntil = new HashMap<>();
 
     World(long seed, Fault fault, Shape shape) {
         this.random = new Random(seed);
         this.fault = fault;
         this.shape = shape;
-        this.rules = new Rules(Map.of("red", shape.red(), "blue", shape.blue()), CANCEL, () -> now);
+        this.rules = new Rules(Map.of("red", shape.red(), "blue", shape.blue()), zones, CANCEL, () -> now);
         state.commit(new Txn().put(Keys.TYPES, Records.types(List.of(TYPE))));
+        observer.reset(state.list(Keys.MIRRORED, null, 10), state.ledger());
+        rules.placed = (machine, attempt) -> stored().placements(machine).stream().anyMatch(p -> p.attempt() == attempt);
         for (int i = 0; i < shape.nodes(); i++) {
             nodes.add(new Node("n" + i));
         }
         for (int i = 0; i < shape.workers(); i++) {
-            Worker w = new Worker(String.format(Locale.ROOT, "m-%06d", i), shape.zone(i));
-            workers.add(w);
-            byId.put(w.id, w);
+            bring(i);
         }
         every(250, this::sweep);
     }
 
+    /** A machine is up from now on. */
+    Worker bring(int i) {
+        String id = String.format(Locale.ROOT, "m-%06d", i);
+        zones.put(id, shape.zone(i));
+        Worker w = new Worker(id, shape.zone(i));
+        workers.add(w);
+        byId.put(w.id, w);
+        return w;
+    }
+
+    /** What is stored at this moment. */
+    Mirror stored() {
+        observer.advance(state.changes(Keys.MIRRORED, observer.ledger()), state.ledger());
+        return observer;
+    }
+
+    /** Something that a day is steered into came about. */
+    void met(String what) {
+        met.merge(what, 1, Integer::sum);
+    }
+
     // ---- time
 
     void at(long delay, Runnable run) {
@@ -156,8 +200,34 @@
         if (now >= outageUntil) {
             state.expire(now);
         }
-        workers.forEach(w -> w.model.advance(now));
+        workers.stream().filter(w -> !isFrozen(w.id)).forEach(w -> w.model.advance(now));
         rules.check();
+        Mirror m = stored();
+        if (m.leader() != null && m.leader().term() != ledTerm) {
+            ledTerm = m.leader().term();
+            met("leader changed");
+            deliverKept();
+        }
+        for (String block : new Blocks(shape.params("n0")).all()) {
+            long term = m.block(block) == null ? 0 : m.block(block).term();
+            Long before = blockTerms.put(block, term);
+            if (before != null && before != term) {
+                blockMovedAt.put(block, now);
+            }
+        }
+    }
+
+    /** Old reports reach every controller, and nobody reads the answers. */
+    private void deliverKept() {
+        for (Report r : kept) {
+            for (Node n : nodes) {
+                at(keptDelay + random.nextInt(400), () -> {
+                    met("old report at a new leader");
+                    n.onReport(r, reply -> { });
+                });
+            }
+        }
+        kept.clear();
     }
 
     // ---- network
@@ -176,6 +246,102 @@
         }
     }
 
+    /** A zone with its workers and controllers is cut off from everything else. */
+    void cutZone(String zone, long ms) {
+        List<String> inside = new ArrayList<>();
+        List<String> outside = new ArrayList<>(List.of("state"));
+        workers.forEach(w -> (zones.get(w.id).equals(zone) ? inside : outside).add(w.id));
+        nodes.forEach(n -> (shape.params(n.name).zoneOfNode(n.name).equals(zone) ? inside : outside).add(n.name));
+        for (String a : inside) {
+            for (String b : outside) {
+                cut(a + ">" + b, ms);
+                cut(b + ">" + a, ms);
+            }
+        }
+    }
+
+    /** Reports of the machine arrive; answers and direct requests to it are lost. */
+    void deafen(String worker, long ms) {
+        nodes.forEach(n -> cut(n.name + ">" + worker, ms));
+    }
+
+    /** The node loses the other nodes, both ways, and nothing else. */
+    void cutFromPeers(String node, long ms) {
+        for (Node other : nodes) {
+            if (!other.name.equals(node)) {
+                cut(node + ">" + other.name, ms);
+                cut(other.name + ">" + node, ms);
+            }
+        }
+    }
+
+    void crash(String node, int downMs) {
+        nodes.stream().filter(n -> n.name.equals(node) && n.up).findFirst().ifPresent(n -> n.crash(downMs));
+    }
+
+    /** This share of transactions gets no answer: they are carried out at once, or 2 to 12 s late. */
+    void late(long ms, double share, boolean atOnce) {
+        lateUntil = now + ms;
+        lateShare = share;
+        lateAtOnce = atOnce;
+    }
+
+    String zoneOf(String worker) {
+        return zones.get(worker);
+    }
+
+    long leaderTerm() {
+        return stored().leader() == null ? -1 : stored().leader().term();
+    }
+
+    /** The node that a machine reports to at the moment. */
+    String reportsTo(String worker) {
+        return nodes.get(byId.get(worker).target % nodes.size()).name;
+    }
+
+    void mute(String worker, long ms) {
+        muteUntil.put(worker, now + ms);
+    }
+
+    /** The state service refuses this node alone. */
+    void refuse(String node, long ms) {
+        refusedUntil.put(node, now + ms);
+    }
+
+    boolean refuses(String node) {
+        return now < outageUntil || now < refusedUntil.getOrDefault(node, 0L);
+    }
+
+    void outage(long ms) {
+        outageUntil = now + ms;
+        at(ms, () -> state.refreshLeases(now));
+    }
+
+    /** The machine stands still, and goes on where it was. */
+    void hang(String worker, long ms) {
+        if (!isFrozen(worker)) {
+            byId.get(worker).model.advance(now);
+            freeze(worker, ms);
+            at(ms, () -> byId.get(worker).model.goOn(now, ms));
+        }
+    }
+
+    private boolean isFrozen(String who) {
+        return now < frozenUntil.getOrDefault(who, 0L);
+    }
+
+    /** The node that holds a machine's block by what is stored. */
+    String holderOf(String worker) {
+        Blocks b = new Blocks(shape.params("n0"));
+        var lease = stored().block(b.blockOf(worker, zones.get(worker)));
+        return lease == null ? "" : lease.holder();
+    }
+
+    /** How long ago a machine's block last got a new term. */
+    long sinceMoved(String worker) {
+        return now - blockMovedAt.getOrDefault(new Blocks(shape.params("n0")).blockOf(worker, zones.get(worker)), Long.MIN_VALUE / 2);
+    }
+
     /** A node that believes that it leads, or any when none does. */
     String leader() {
         return nodes.stream().filter(n -> n.up && n.leader.leadingTerm() >= 0).findFirst().orElse(nodes.get(0)).name;
@@ -227,7 +393,11 @@
     // ---- users
 
     void submit(String id, String team, int tasks, double cpus, double seconds) {
-        JobSpec job = new JobSpec(id, "c", team, Priority.NORMAL, tasks, cpus, 0, 1, null, null, false, false, true,
+        submit(id, team, Priority.NORMAL, tasks, cpus, seconds, false);
+    }
+
+    void submit(String id, String team, Priority priority, int tasks, double cpus, double seconds, boolean oneZone) {
+        JobSpec job = new JobSpec(id, "c", team, priority, tasks, cpus, 0, 1, null, null, oneZone, false, true,
             "img", 0.5, seconds, 0, 0, null);
         rules.jobs.put(id, job);
         state.commit(new Txn().guard(Keys.job(id), 0)
@@ -245,6 +415,16 @@
         rules.told(id, "CANCELLED");
     }
 
+    /** A user cancels at a node, which tells its peers as soon as it is stored. */
+    boolean cancelAt(String node, String id) {
+        if (refuses(node) || state.get(Keys.job(id)) == null) {
+            return false;
+        }
+        cancel(id);
+        nodes.stream().filter(n -> n.name.equals(node) && n.up).forEach(n -> n.peers(p -> p.holder.onCancelled(id)));
+        return true;
+    }
+
     /** What users would be told now; true when the job is over. */
     boolean poll(String id) {
         StateModel.Entry over = state.get(Keys.archived(id));
@@ -279,6 +459,10 @@
 
         /** One report in flight at a time; its answer counts for four seconds. */
         private void report() {
+            if (isFrozen(id)) {
+                thawed(id, this::report);
+                return;
+            }
             model.advance(now);
             Report r = model.report();
             long mine = ++generation;
@@ -289,8 +473,16 @@
                 Node other = nodes.get(random.nextInt(nodes.size()));
                 at(1000 + random.nextInt(4 * (int) LEASE), () -> other.onReport(r, reply -> { }));
             }
+            if (now < keepUntil && kept.size() < 200) {
+                kept.add(r);
+            }
+            if (now < muteUntil.getOrDefault(id, 0L)) {
+                met("a machine that reaches no controller");
+                next(1000);
+                return;
+            }
             send(id, node.name, () -> node.onReport(r, reply -> send(node.name, id, () -> {
-                if (mine == generation) {
+                if (mine == generation && !isFrozen(id)) {
                     generation++;
                     answered(r, sentAt, reply);
                 }
@@ -358,6 +550,7 @@
             loop(mine, 20 + random.nextInt(30), this::work);
             loop(mine, 400, this::renew);
             loop(mine, 60, this::follow);
+            loop(mine, 3100, this::watch);
             loop(mine, 1000, () -> peers(n -> n.leader.hears(name, holder.deaf())));
             loop(mine, 1000, () -> {
                 if (leader.leadingTerm() >= 0) {
@@ -408,13 +601,13 @@
             int mine = life;
             boolean[] over = new boolean[1];
             send(name, "state", () -> {
-                T result = now < outageUntil ? refused : request.get();
-                send("state", name, () -> {
+                T result = refuses(name) ? refused : request.get();
+                at(now < slowUntil ? random.nextInt(slowMs) : 0, () -> send("state", name, () -> {
                     if (life == mine && !over[0]) {
                         over[0] = true;
                         answer.accept(result);
                     }
-                });
+                }));
             });
             after(2000, () -> {
                 if (life == mine && !over[0]) {
@@ -424,6 +617,36 @@
             });
         }
 
+        /** A watch: answered when something has changed or its time is over, and hanging open while the store refuses. */
+        private void watch() {
+            if (!watches || !mirror.loaded() || listing) {
+                return;
+            }
+            int mine = life;
+            long sentAt = now;
+            long since = mirror.ledger();
+            send(name, "state", () -> hangOpen(since, now + 3000, a -> send("state", name, () -> {
+                if (life == mine && !listing) {
+                    mirror.advance(a.changes(), a.ledger());
+                    if (!mirror.torn()) {
+                        holder.confirmed(sentAt);
+                    }
+                }
+            })));
+        }
+
+        private void hangOpen(long since, long until, Consumer<Answer> answer) {
+            List<Change> changes = refuses(name) ? List.of() : state.changes(Keys.MIRRORED, since);
+            if (refuses(name) || changes.isEmpty() && now < until) {
+                if (refuses(name)) {
+                    met("a watch hung open through a refusal");
+                }
+                at(40, () -> hangOpen(since, until, answer));
+            } else {
+                answer.accept(new Answer(changes, state.ledger()));
+            }
+        }
+
         private void renew() {
             if (lease < 0) {
                 ask(() -> state.grant(now, 1500), -1L, id -> {
@@ -501,6 +724,17 @@
         }
 
         private void commit(Txn txn, BiConsumer<TxnResult, Long> done) {
+            if (now < lateUntil && random.nextDouble() < lateShare) {
+                int mine = life;
+                at(lateAtOnce ? 1 + random.nextInt(5) : 2000 + random.nextInt(10_000), () ->
+                    met(now >= outageUntil && state.commit(txn) == 200 ? "carried out without an answer" : "late and overtaken"));
+                after(2000, () -> {
+                    if (life == mine) {
+                        done.accept(TxnResult.MAYBE, -1L);
+                    }
+                });
+                return;
+            }
             ask(() -> {
                 int status = state.commit(txn);
                 return new Object[] {status == 200 ? TxnResult.OK : status == 409 ? TxnResult.CONFLICT
