--- a/src/test/java/garnetscale/core/sim/MeetingsTest.java
+++ b/src/test/java/garnetscale/core/sim/MeetingsTest.java
@@ -34,6 +34,7 @@
         for (long seed = 1; seed <= seeds; seed++) {
             World w = new World(seed, World.Fault.NONE, World.Shape.SMALL);
             w.watches = true;
+            w.wordLoss = 0.5;
             script.accept(w);
             w.run(130_000);
             settle(w);
@@ -151,6 +152,7 @@
     @Test
     void peersWordOfACancellationStopsItsTasksInAnOutage() {
         Map<String, Integer> met = play(w -> {
+            w.wordLoss = 0;
             longWork(w, 14);
             w.at(20_000, () -> {
                 String leader = w.leader();
@@ -437,12 +439,43 @@
         }
     }
 
+    /** Both teams want more than their limits all day, so that whatever is freed too early is taken by others at once. */
+    private static void fullTeams(World w) {
+        for (int i = 0; i < 70; i++) {
+            String id = "wk-3" + i;
+            int seconds = 5 + w.random.nextInt(25);
+            w.at(1000 + 1300L * i, () -> w.submit(id, w.random.nextBoolean() ? "red" : "blue", 3, 2, seconds));
+        }
+    }
+
+    /** A start is on its way while its job is called off, to a machine that may just have stopped. */
+    @Test
+    void cancelledWhileAStartIsOnItsWay() {
+        Map<String, Integer> met = play(2 * SEEDS, w -> {
+            fullTeams(w);
+            w.onStartSent = (machine, task) -> {
+                if (w.now > 5000 && w.now < 95_000 && w.random.nextInt(6) == 0) {
+                    if (w.random.nextBoolean()) {
+                        w.hang(machine, 500 + w.random.nextInt(7000));
+                    }
+                    w.at(w.random.nextInt(300), () -> w.met(w.cancelAt("n" + w.random.nextInt(3), task.job())
+                        ? "cancelled while a start is on its way" : "over or refused"));
+                }
+            };
+            w.at(50_000, () -> w.crash(w.leader(), 2000));
+        });
+        least(met, 20 * SEEDS, "cancelled while a start is on its way");
+    }
+
     /** Copies of reports come late, seconds to well over a lease, also from earlier sessions. */
     @Test
     void oldReportsArriveAfterNewerOnes() {
-        Map<String, Integer> met = play(w -> {
-            shortWork(w, 30, 100_000);
+        Map<String, Integer> met = play(2 * SEEDS, w -> {
+            fullTeams(w);
             w.copiesUntil = 100_000;
+            for (long t = 8000; t < 100_000; t += 2000) {
+                w.at(t, () -> cancelRunning(w, "", m -> w.random.nextInt(8) == 0, "cancelled meanwhile"));
+            }
             for (long t = 15_000; t < 100_000; t += 15_000) {
                 w.at(t, () -> {
                     String m = w.workers.get(w.random.nextInt(w.workers.size())).id;
--- a/src/test/java/garnetscale/core/sim/World.java
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -14,7 +14,9 @@
 import garnetscale.core.lead.Leader;
 import garnetscale.core.lead.Pipeline;
 import garnetscale.core.machine.Address;
+import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Order;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.machine.Report;
 import garnetscale.core.store.Change;
@@ -122,6 +124,10 @@
     double loss = 0.002;
     /** Besides following by short requests, nodes watch by ones that hang open, also through a refusal. */
     boolean watches;
+    /** Told of each start that a holder sends, with its machine. */
+    BiConsumer<String, TaskId> onStartSent = (machine, task) -> { };
+    /** Share of cancellations of which the peers aren't told: their links are down just then. */
+    double wordLoss;
     /** Until then reports are kept, and so long after a new leader's beginning their copies reach every controller. */
     long keepUntil;
     long keptDelay;
@@ -421,7 +427,9 @@
             return false;
         }
         cancel(id);
-        nodes.stream().filter(n -> n.name.equals(node) && n.up).forEach(n -> n.peers(p -> p.holder.onCancelled(id)));
+        if (random.nextDouble() >= wordLoss) {
+            nodes.stream().filter(n -> n.name.equals(node) && n.up).forEach(n -> n.peers(p -> p.holder.onCancelled(id)));
+        }
         return true;
     }
 
@@ -790,7 +798,11 @@
 
         void onReport(Report r, Consumer<Holder.Reply> answer) {
             if (up && mirror.loaded()) {
-                answer.accept(holder.onReport(now, r));
+                Holder.Reply reply = holder.onReport(now, r);
+                answer.accept(reply);
+                if (reply instanceof Holder.Reply.Answer a) {
+                    startsSent(r.machine(), a.orders());
+                }
                 holder.drain().forEach(this::carryOut);
             }
         }
@@ -837,7 +849,12 @@
             }
         }
 
+        private void startsSent(String machine, List<Order> orders) {
+            orders.stream().filter(Order.Start.class::isInstance).forEach(o -> onStartSent.accept(machine, o.task()));
+        }
+
         private void command(Holder.Effect.Command c) {
+            startsSent(c.machine(), c.orders());
             WorkerModel w = worker(c.machine()).model;
             int mine = life;
             boolean[] over = new boolean[1];
