--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -51,6 +51,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long TICK_MS = 250;
     private static final long HEARTBEAT_MS = 1000;
+    private static final long TURNS_MS = 60_000;
     /**
      * What happens within a 300th of a report's interval is worked on together, and a draft follows another after an 80th at
      * the soonest: news comes by reports, and the more machines there are the more each turn and draft goes over.
@@ -73,6 +74,7 @@
     }
 
     private final Params params;
+    private final Turns turns = new Turns();
     private final long turnMs;
     private final Settings settings;
     private final EventLoopGroup loop;
@@ -141,7 +143,8 @@
 
             @Override
             public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Consumer<HttpResult> done) {
-                http.call(settings.state(), method, path, body, timeoutMs, done);
+                http.call(settings.state(), method, path, body, timeoutMs,
+                    r -> turns.run(Turns.Role.STATE, () -> done.accept(r)));
             }
         };
     }
@@ -161,6 +164,7 @@
             // With a fixed delay: after a standstill a fixed rate would make up for every beat that it missed.
             loop.next().scheduleWithFixedDelay(this::work, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
             loop.next().scheduleWithFixedDelay(this::beat, HEARTBEAT_MS, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+            loop.next().scheduleWithFixedDelay(() -> LOG.info("turns: {}", turns.take()), TURNS_MS, TURNS_MS, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -179,6 +183,10 @@
     // ---- requests
 
     private void onRequest(String method, String path, byte[] body, Consumer<Reply> answer) {
+        turns.run(path.equals("/hello") ? Turns.Role.REPORTS : Turns.Role.USERS, () -> serve(method, path, body, answer));
+    }
+
+    private void serve(String method, String path, byte[] body, Consumer<Reply> answer) {
         try {
             if (path.equals("/hello")) {
                 answer.accept(method.equals("POST") ? onReport(body) : Reply.of(405));
@@ -302,6 +310,10 @@
     }
 
     private void onPeer(PeerMessage m) {
+        turns.run(Turns.Role.PEERS, () -> hear(m));
+    }
+
+    private void hear(PeerMessage m) {
         if (m instanceof PeerMessage.Heartbeat h) {
             Peer before = heard.put(h.node(), new Peer(h, now()));
             if (before == null || now() - before.at() < 2 * HEARTBEAT_MS) {
@@ -358,15 +370,17 @@
             holder.wallClock(System.currentTimeMillis() - now);
             fleet.wallClock(System.currentTimeMillis() - now);
             leader.wallClock(System.currentTimeMillis() - now);
-            holder.tick(now);
-            holder.drain().forEach(this::carryOut);
+            turns.run(Turns.Role.HOLDER, () -> {
+                holder.tick(now);
+                holder.drain().forEach(this::carryOut);
+            });
             if (holder.deaf() != deaf) {
                 deaf = holder.deaf();
                 LOG.info(deaf ? "no worker reaches this node: it gives up its blocks" : "workers reach this node again");
                 leader.hears(params.self(), deaf);
                 peers.sendAll(heartbeat());
             }
-            lead(now);
+            turns.run(Turns.Role.LEADER, () -> lead(now));
         } catch (RuntimeException e) {
             LOG.error("work failed", e);
         }
@@ -382,11 +396,12 @@
         if (effect instanceof Holder.Effect.Command c) {
             LOG.debug("machine {} told {} directly under token {}", c.machine(), c.orders(), c.token());
             workers.call(c.address(), HttpMethod.POST, "/commands",
-                WorkerCodec.commands(c.token(), c.shift(), c.orders()), 4000, r -> onCommanded(c, r));
+                WorkerCodec.commands(c.token(), c.shift(), c.orders()), 4000, r -> turns.run(Turns.Role.WORKERS, () -> onCommanded(c, r)));
             return;
         }
         if (effect instanceof Holder.Effect.Probe p) {
-            workers.call(p.address(), HttpMethod.GET, "/show", null, 2000, r -> onProbed(r));
+            workers.call(p.address(), HttpMethod.GET, "/show", null, 2000,
+                r -> turns.run(Turns.Role.WORKERS, () -> onProbed(r)));
             return;
         }
         LeaderInfo l = mirror.leader();
@@ -458,7 +473,10 @@
         }
         if (state.ageMs() < 3000 && cloud.ready(now) && now - fleetAt >= FLEET_MS) {
             fleetAt = now;
-            CloudCall call = fleet.next(now, leader.machines(), leader.condemned(), leader.suspects());
+            CloudCall[] next = new CloudCall[1];
+            turns.run(Turns.Role.FLEET,
+                () -> next[0] = fleet.next(now, leader.machines(), leader.condemned(), leader.suspects()));
+            CloudCall call = next[0];
             fleetAt += Math.min(FLEET_MS, FLEET_REST * (now() - now));
             if (call != null) {
                 fleetAt = now - FLEET_MS;
--- a/src/main/java/garnetscale/app/Rehearsal.java
+++ b/src/main/java/garnetscale/app/Rehearsal.java
@@ -104,6 +104,20 @@
             class = "try"
             within_s = 1.0
             share = 0.9
+            [[facts.objectives]]
+            kind = "finished"
+            class = "try"
+            within_s = 60.0
+            share = 0.9
+            [[facts.objectives]]
+            kind = "deadline"
+            class = "try"
+            share = 0.9
+            times = 1.0
+            [[facts.objectives]]
+            kind = "guarantee"
+            within_s = 5.0
+            share = 0.9
             [facts.workers]
             report_s = 0.3
             lease_s = 3.0
--- a/src/main/java/garnetscale/app/Settings.java
+++ b/src/main/java/garnetscale/app/Settings.java
@@ -1,14 +1,16 @@
 package garnetscale.app;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import garnetscale.core.Params;
+import garnetscale.wire.Trees;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 
 /** The platform's settings file. Unknown fields are ignored; each fault is named with its key. */
 record Settings(Params params, String listen, String back, String cloud, String state, double cpuShare, double ramMb) {
@@ -29,10 +31,11 @@
     }
 
     static Settings read(Path file) throws Faults {
-        JsonNode root;
-        try {
-            root = new TomlMapper().readTree(Files.readString(file));
-        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+        Object root;
+        // The parser alone: to make a mapper, which this has no use for, took a third of the whole start-up.
+        try (JsonParser p = new TomlFactory().createParser(Files.readString(file))) {
+            root = Trees.read(p);
+        } catch (JsonProcessingException e) {
             throw new Faults(List.of("not TOML: " + e.getOriginalMessage() + at(e)));
         } catch (IOException e) {
             throw new Faults(List.of("can't be read: " + e));
@@ -40,16 +43,16 @@
         return new Reader(root).settings();
     }
 
-    private static String at(com.fasterxml.jackson.core.JsonProcessingException e) {
+    private static String at(JsonProcessingException e) {
         return e.getLocation() == null ? "" : ", line " + e.getLocation().getLineNr();
     }
 
     private static final class Reader {
 
-        private final JsonNode root;
+        private final Object root;
         private final List<String> faults = new ArrayList<>();
 
-        Reader(JsonNode root) {
+        Reader(Object root) {
             this.root = root;
         }
 
@@ -61,25 +64,26 @@
             List<Params.Member> members = new ArrayList<>();
             members.add(new Params.Member(self, site, back));
             int i = 0;
-            for (JsonNode m : root.path("members")) {
+            for (Object m : list(root, "members")) {
                 String at = "members[" + i++ + "].";
                 members.add(new Params.Member(text(m, at, "node_name"), text(m, at, "site"), address(m, at, "endpoint")));
             }
-            members.sort(Comparator.comparing(Params.Member::name));
+            // No Comparator.comparing: its lambda belongs to the platform's own classes, which the archive has without.
+            members.sort((a, b) -> a.name().compareTo(b.name()));
             if (members.stream().map(Params.Member::name).distinct().count() != members.size()) {
                 faults.add("members: a node_name stands twice");
             }
-            JsonNode ends = root.path("endpoints");
+            Object ends = path(root, "endpoints");
             String cloud = address(ends, "endpoints.", "cloud");
             String state = address(ends, "endpoints.", "state");
-            JsonNode facts = root.path("facts");
+            Object facts = path(root, "facts");
             List<String> zones = new ArrayList<>();
-            facts.path("zones").forEach(z -> zones.add(z.asText()));
+            list(facts, "zones").forEach(z -> zones.add(String.valueOf(z)));
             if (zones.isEmpty()) {
                 faults.add("facts.zones is missing or empty");
             }
-            JsonNode workers = facts.path("workers");
-            JsonNode limits = facts.path("machine_limits");
+            Object workers = path(facts, "workers");
+            Object limits = path(facts, "machine_limits");
             long report = ms(workers, "facts.workers.", "report_s");
             long lease = ms(workers, "facts.workers.", "lease_s");
             long cancel = ms(workers, "facts.workers.", "cancel_s");
@@ -91,14 +95,14 @@
             }
             Params params = new Params(self, List.copyOf(members), List.copyOf(zones), Params.byName(teams(facts)),
                 objectives(facts), report, lease, cancel,
-                (int) above0(facts.path("state"), "facts.state.", "txn_ops"),
-                above0(facts.path("state"), "facts.state.", "rps"),
-                above0(facts.path("state"), "facts.state.", "write_rps"),
-                (int) (1024 * above0(facts.path("state"), "facts.state.", "value_kb")),
-                above0(facts.path("cloud"), "facts.cloud.", "rps"),
-                Math.round(1000 * atLeast0(facts.path("cloud"), "facts.cloud.", "list_lag_s")),
+                (int) above0(path(facts, "state"), "facts.state.", "txn_ops"),
+                above0(path(facts, "state"), "facts.state.", "rps"),
+                above0(path(facts, "state"), "facts.state.", "write_rps"),
+                (int) (1024 * above0(path(facts, "state"), "facts.state.", "value_kb")),
+                above0(path(facts, "cloud"), "facts.cloud.", "rps"),
+                Math.round(1000 * atLeast0(path(facts, "cloud"), "facts.cloud.", "list_lag_s")),
                 (int) above0(limits, "facts.machine_limits.", "max_connections"),
-                Math.round(facts.path("time_bound_ms").asDouble(0)));
+                Math.round(numberOr0(facts, "time_bound_ms")));
             double cpu = above0(limits, "facts.machine_limits.", "cpu");
             double ram = above0(limits, "facts.machine_limits.", "ram_mb");
             if (params.txnOps() > 0 && params.txnOps() < 16) {
@@ -110,10 +114,27 @@
             return new Settings(params, listen, back, cloud, state, cpu, ram);
         }
 
-        private List<Params.Team> teams(JsonNode facts) {
+        /** What stands under a key; null where there is no such key, or no table that could have it. */
+        private static Object path(Object node, String key) {
+            return node instanceof Map<?, ?> map ? map.get(key) : null;
+        }
+
+        private static List<?> list(Object node, String key) {
+            return path(node, key) instanceof List<?> list ? list : List.of();
+        }
+
+        private static String textOrEmpty(Object node, String key) {
+            return path(node, key) instanceof String s ? s : "";
+        }
+
+        private static double numberOr0(Object node, String key) {
+            return path(node, key) instanceof Number n ? n.doubleValue() : 0;
+        }
+
+        private List<Params.Team> teams(Object facts) {
             List<Params.Team> teams = new ArrayList<>();
             int i = 0;
-            for (JsonNode t : facts.path("teams")) {
+            for (Object t : list(facts, "teams")) {
                 String at = "facts.teams[" + i++ + "].";
                 teams.add(new Params.Team(text(t, at, "name"), atLeast0(t, at, "cpus"), limit(t, at, "cpus_max"),
                     atLeast0(t, at, "gpus"), limit(t, at, "gpus_max")));
@@ -124,31 +145,31 @@
             return teams;
         }
 
-        private List<Params.Objective> objectives(JsonNode facts) {
+        private List<Params.Objective> objectives(Object facts) {
             List<Params.Objective> list = new ArrayList<>();
-            for (JsonNode o : facts.path("objectives")) {
-                list.add(new Params.Objective(o.path("kind").asText(""), o.path("class").asText(""),
-                    o.path("within_s").asDouble(0), o.path("share").asDouble(0), o.path("times").asDouble(0)));
+            for (Object o : list(facts, "objectives")) {
+                list.add(new Params.Objective(textOrEmpty(o, "kind"), textOrEmpty(o, "class"), numberOr0(o, "within_s"),
+                    numberOr0(o, "share"), numberOr0(o, "times")));
             }
             return List.copyOf(list);
         }
 
         /** In the settings 0 means none, and a limit that is none limits nothing. */
-        private double limit(JsonNode node, String at, String key) {
+        private double limit(Object node, String at, String key) {
             double v = atLeast0(node, at, key);
             return v == 0 ? Double.POSITIVE_INFINITY : v;
         }
 
-        private String text(JsonNode node, String at, String key) {
-            JsonNode v = node.path(key);
-            if (!v.isTextual() || v.asText().isBlank()) {
-                faults.add(at + key + (v.isMissingNode() ? " is missing" : " is not text"));
+        private String text(Object node, String at, String key) {
+            Object v = path(node, key);
+            if (!(v instanceof String text) || text.isBlank()) {
+                faults.add(at + key + (v == null ? " is missing" : " is not text"));
                 return "";
             }
-            return v.asText();
+            return text;
         }
 
-        private String address(JsonNode node, String at, String key) {
+        private String address(Object node, String at, String key) {
             String s = text(node, at, key);
             if (!s.isEmpty() && !s.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}")) {
                 faults.add(at + key + " is not an address like 10.0.0.1:8080");
@@ -156,13 +177,13 @@
             return s;
         }
 
-        private double number(JsonNode node, String at, String key, double least, boolean open) {
-            JsonNode v = node.path(key);
-            if (!v.isNumber()) {
-                faults.add(at + key + (v.isMissingNode() ? " is missing" : " is not a number"));
+        private double number(Object node, String at, String key, double least, boolean open) {
+            Object v = path(node, key);
+            if (!(v instanceof Number n)) {
+                faults.add(at + key + (v == null ? " is missing" : " is not a number"));
                 return 0;
             }
-            double d = v.asDouble();
+            double d = n.doubleValue();
             if (!Double.isFinite(d) || d < least || open && d == least) {
                 faults.add(at + key + " must be " + (open ? "above " : "at least ") + (int) least);
                 return 0;
@@ -170,15 +191,15 @@
             return d;
         }
 
-        private double above0(JsonNode node, String at, String key) {
+        private double above0(Object node, String at, String key) {
             return number(node, at, key, 0, true);
         }
 
-        private double atLeast0(JsonNode node, String at, String key) {
+        private double atLeast0(Object node, String at, String key) {
             return number(node, at, key, 0, false);
         }
 
-        private long ms(JsonNode node, String at, String key) {
+        private long ms(Object node, String at, String key) {
             return Math.round(1000 * above0(node, at, key));
         }
     }
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -30,7 +30,6 @@
 import garnetscale.core.store.Txn;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -535,7 +534,7 @@
 
     private static List<Exit> oldestFirst(Long2ObjectHashMap<Exit> exits) {
         List<Exit> list = new ArrayList<>(exits.values());
-        list.sort(Comparator.comparingLong(Exit::attempt));
+        list.sort((a, b) -> Long.compare(a.attempt(), b.attempt()));
         return list;
     }
 
--- a/src/main/java/garnetscale/core/line/Line.java
+++ b/src/main/java/garnetscale/core/line/Line.java
@@ -4,7 +4,6 @@
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.store.JobView;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -27,7 +26,10 @@
                 keyed.add(new Keyed(order.key(j, nowMs), j));
             }
         }
-        keyed.sort(Comparator.comparingDouble(Keyed::key).thenComparing(k -> k.job().spec().id()));
+        keyed.sort((a, b) -> {
+            int c = Double.compare(a.key(), b.key());
+            return c != 0 ? c : a.job().spec().id().compareTo(b.job().spec().id());
+        });
         List<JobView> sorted = new ArrayList<>(keyed.size());
         keyed.forEach(k -> sorted.add(k.job()));
         return sorted;
--- a/src/main/java/garnetscale/net/HttpClient.java
+++ b/src/main/java/garnetscale/net/HttpClient.java
@@ -106,7 +106,7 @@
             callback.accept(HttpResult.NOT_SENT);
             return;
         }
-        Bootstrap b = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        Bootstrap b = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(connectMs, timeoutMs))
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/garnetscale/net/PeerLinks.java
+++ b/src/main/java/garnetscale/net/PeerLinks.java
@@ -62,7 +62,7 @@
     }
 
     public ChannelFuture listen(String hostPort) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
@@ -92,7 +92,7 @@
     }
 
     private void connect(String node, String hostPort, boolean again) {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/garnetscale/peer/PeerCodec.java
+++ b/src/main/java/garnetscale/peer/PeerCodec.java
@@ -12,171 +12,220 @@
 import garnetscale.core.store.Records;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.apache.avro.Schema;
-import org.apache.avro.generic.GenericData;
-import org.apache.avro.generic.GenericDatumReader;
-import org.apache.avro.generic.GenericDatumWriter;
-import org.apache.avro.generic.GenericRecord;
 import org.apache.avro.io.BinaryDecoder;
 import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.Decoder;
 import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.Encoder;
 import org.apache.avro.io.EncoderFactory;
 
-/** Peer messages in Avro's binary form, by the schema in {@code peer.avsc}. */
+/**
+ * Peer messages in Avro's binary form. The schema is {@code peer.avsc}, and a test holds this to it by Avro's own generic
+ * reader and writer; here its fields are written and read in their order by Avro's encoder and decoder. To parse the schema
+ * and make generic records took a third of a starting process's time, and most of what a message costs.
+ */
 public final class PeerCodec {
 
-    private final Schema schema;
-    private final GenericDatumWriter<GenericRecord> writer;
-    private final GenericDatumReader<GenericRecord> reader;
-    private final Map<String, Schema> types = new HashMap<>();
+    /** Places in the schema's union; what stands between them is part of other messages. */
+    private static final int HEARTBEAT = 0;
+    private static final int OBSERVATION = 2;
+    private static final int BOOK = 4;
+    private static final int CANCELLED = 5;
+    private static final int OVER = 6;
+    private static final int BID_SHEET = 8;
+    private static final TaskState[] STATES = TaskState.values();
+    private static final ExitCause[] CAUSES = ExitCause.values();
+
+    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(1024);
     private BinaryEncoder encoder;
     private BinaryDecoder decoder;
 
-    public PeerCodec() {
-        try (InputStream in = PeerCodec.class.getResourceAsStream("/peer.avsc")) {
-            schema = new Schema.Parser().parse(in);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-        writer = new GenericDatumWriter<>(schema);
-        reader = new GenericDatumReader<>(schema);
+    private interface Item<T> {
+        void write(T item) throws IOException;
     }
 
-    private Schema type(String name) {
-        return types.computeIfAbsent(name, n -> schema.getTypes().get(schema.getIndexNamed("garnetscale.peer." + n)));
+    private interface Read<T> {
+        T item() throws IOException;
     }
 
     public byte[] encode(PeerMessage message) {
-        GenericRecord r;
+        bytes.reset();
+        encoder = EncoderFactory.get().binaryEncoder(bytes, encoder);
+        try {
+            write(encoder, message);
+            encoder.flush();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(Encoder out, PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.Heartbeat h) {
-            r = record("Heartbeat", h.node(), h.incarnation(), h.leaderTerm(), h.stateAgeMs(), h.deaf());
+            out.writeIndex(HEARTBEAT);
+            out.writeString(h.node());
+            out.writeLong(h.incarnation());
+            out.writeLong(h.leaderTerm());
+            out.writeLong(h.stateAgeMs());
+            out.writeBoolean(h.deaf());
         } else if (message instanceof PeerMessage.Seen s) {
-            r = seen(s.observation());
+            out.writeIndex(OBSERVATION);
+            observation(out, s.observation());
         } else if (message instanceof PeerMessage.Book b) {
-            List<GenericRecord> rows = new ArrayList<>();
-            b.machines().forEach(a -> rows.add(record("Address", a.machine(), a.address(), a.zone())));
-            r = record("Book", rows, b.lateJobs(), b.suspects());
+            out.writeIndex(BOOK);
+            list(out, b.machines(), a -> {
+                out.writeString(a.machine());
+                out.writeString(a.address());
+                out.writeString(a.zone());
+            });
+            list(out, b.lateJobs(), out::writeString);
+            list(out, b.suspects(), out::writeString);
         } else if (message instanceof PeerMessage.Cancelled c) {
-            r = record("Cancelled", c.job());
+            out.writeIndex(CANCELLED);
+            out.writeString(c.job());
         } else if (message instanceof PeerMessage.Over o) {
-            r = record("Over", o.job(), o.how().state().name(), o.how().tasks(), o.how().finished(), o.how().team());
+            out.writeIndex(OVER);
+            out.writeString(o.job());
+            out.writeString(o.how().state().name());
+            out.writeInt(o.how().tasks());
+            out.writeInt(o.how().finished());
+            out.writeString(o.how().team());
         } else if (message instanceof PeerMessage.Bids b) {
-            r = bids(b.sheet());
+            out.writeIndex(BID_SHEET);
+            sheet(out, b.sheet());
         } else {
             throw new IllegalArgumentException("no form for " + message);
         }
-        ByteArrayOutputStream out = new ByteArrayOutputStream(256);
-        encoder = EncoderFactory.get().binaryEncoder(out, encoder);
-        try {
-            writer.write(r, encoder);
-            encoder.flush();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-        return out.toByteArray();
     }
 
-    private GenericRecord record(String name, Object... values) {
-        GenericRecord r = new GenericData.Record(type(name));
-        for (int i = 0; i < values.length; i++) {
-            r.put(i, values[i]);
+    private static <T> void list(Encoder out, Collection<T> items, Item<T> item) throws IOException {
+        out.writeArrayStart();
+        out.setItemCount(items.size());
+        for (T t : items) {
+            out.startItem();
+            item.write(t);
         }
-        return r;
+        out.writeArrayEnd();
     }
 
-    private GenericRecord seen(Observation o) {
-        List<GenericRecord> tasks = new ArrayList<>();
-        for (ReportedTask t : o.tasks()) {
-            tasks.add(record("Task", t.task().toString(), t.attempt(), t.state().ordinal(),
-                t.cause() == null ? -1 : t.cause().ordinal(), t.saved()));
+    private static void observation(Encoder out, Observation o) throws IOException {
+        out.writeString(o.node());
+        out.writeLong(o.incarnation());
+        out.writeString(o.block());
+        out.writeLong(o.term());
+        out.writeString(o.machine());
+        out.writeString(o.address());
+        out.writeString(o.type());
+        out.writeString(o.zone());
+        out.writeBoolean(o.spot());
+        out.writeLong(o.shift());
+        if (o.noticeS() == null) {
+            out.writeIndex(0);
+            out.writeNull();
+        } else {
+            out.writeIndex(1);
+            out.writeDouble(o.noticeS());
         }
-        return record("Observation", o.node(), o.incarnation(), o.block(), o.term(), o.machine(), o.address(), o.type(),
-            o.zone(), o.spot(), o.shift(), o.noticeS(), o.silent(), tasks, o.gone());
+        out.writeBoolean(o.silent());
+        list(out, o.tasks(), t -> {
+            out.writeString(t.task().toString());
+            out.writeLong(t.attempt());
+            out.writeInt(t.state().ordinal());
+            out.writeInt(t.cause() == null ? -1 : t.cause().ordinal());
+            out.writeBoolean(t.saved());
+        });
+        list(out, o.gone(), out::writeLong);
     }
 
-    private GenericRecord bids(BidSheet s) {
-        List<GenericRecord> bids = new ArrayList<>();
-        for (Bid b : s.bids()) {
-            bids.add(record("Bid", b.machine(), b.shift(), b.job(), b.slots(), b.finishS()));
+    private static void sheet(Encoder out, BidSheet s) throws IOException {
+        out.writeString(s.node());
+        out.writeLong(s.incarnation());
+        out.writeLong(s.ledger());
+        out.writeMapStart();
+        out.setItemCount(s.terms().size());
+        for (Map.Entry<String, Long> e : s.terms().entrySet()) {
+            out.startItem();
+            out.writeString(e.getKey());
+            out.writeLong(e.getValue());
         }
-        return record("BidSheet", s.node(), s.incarnation(), s.ledger(), s.terms(), bids);
+        out.writeMapEnd();
+        list(out, s.bids(), b -> {
+            out.writeString(b.machine());
+            out.writeLong(b.shift());
+            out.writeString(b.job());
+            out.writeInt(b.slots());
+            out.writeDouble(b.finishS());
+        });
     }
 
     /** Reads a message; anything that isn't one is an IOException. */
-    public PeerMessage decode(byte[] bytes) throws IOException {
-        decoder = DecoderFactory.get().binaryDecoder(bytes, decoder);
+    public PeerMessage decode(byte[] message) throws IOException {
+        decoder = DecoderFactory.get().binaryDecoder(message, decoder);
         try {
-            GenericRecord r = reader.read(null, decoder);
-            return switch (r.getSchema().getName()) {
-                case "Heartbeat" -> new PeerMessage.Heartbeat(text(r, "node"), whole(r, "incarnation"),
-                    whole(r, "leaderTerm"), whole(r, "stateAgeMs"), (boolean) r.get("deaf"));
-                case "Book" -> new PeerMessage.Book(book(r), texts((List<?>) r.get("late")), texts((List<?>) r.get("suspects")));
-                case "Cancelled" -> new PeerMessage.Cancelled(text(r, "job"));
-                case "Over" -> new PeerMessage.Over(text(r, "job"), new Records.Archived(JobState.valueOf(text(r, "state")),
-                    (int) r.get("tasks"), (int) r.get("finished"), text(r, "team")));
-                case "Observation" -> new PeerMessage.Seen(observation(r));
-                case "BidSheet" -> new PeerMessage.Bids(sheet(r));
-                default -> throw new IOException("not a message: " + r.getSchema().getName());
-            };
+            PeerMessage m = read(decoder);
+            if (!decoder.isEnd()) {
+                throw new IOException("more than one peer message");
+            }
+            return m;
         } catch (RuntimeException e) {
             throw new IOException("malformed peer message", e);
         }
     }
 
-    private static List<Address> book(GenericRecord r) {
-        List<Address> list = new ArrayList<>();
-        for (Object o : (List<?>) r.get("machines")) {
-            GenericRecord a = (GenericRecord) o;
-            list.add(new Address(text(a, "machine"), text(a, "address"), text(a, "zone")));
+    private static PeerMessage read(Decoder in) throws IOException {
+        int kind = in.readIndex();
+        return switch (kind) {
+            case HEARTBEAT -> new PeerMessage.Heartbeat(in.readString(), in.readLong(), in.readLong(), in.readLong(),
+                in.readBoolean());
+            case OBSERVATION -> new PeerMessage.Seen(observation(in));
+            case BOOK -> new PeerMessage.Book(list(in, () -> new Address(in.readString(), in.readString(), in.readString())),
+                list(in, in::readString), list(in, in::readString));
+            case CANCELLED -> new PeerMessage.Cancelled(in.readString());
+            case OVER -> new PeerMessage.Over(in.readString(),
+                new Records.Archived(JobState.valueOf(in.readString()), in.readInt(), in.readInt(), in.readString()));
+            case BID_SHEET -> new PeerMessage.Bids(sheet(in));
+            default -> throw new IOException("not a message: " + kind);
+        };
+    }
+
+    private static <T> List<T> list(Decoder in, Read<T> read) throws IOException {
+        List<T> list = new ArrayList<>();
+        for (long n = in.readArrayStart(); n > 0; n = in.arrayNext()) {
+            for (long i = 0; i < n; i++) {
+                list.add(read.item());
+            }
         }
         return List.copyOf(list);
     }
 
-    private static List<String> texts(List<?> list) {
-        return list.stream().map(Object::toString).toList();
+    private static Observation observation(Decoder in) throws IOException {
+        return new Observation(in.readString(), in.readLong(), in.readString(), in.readLong(), in.readString(), in.readString(),
+            in.readString(), in.readString(), in.readBoolean(), in.readLong(), in.readIndex() == 0 ? null : in.readDouble(),
+            in.readBoolean(), list(in, () -> {
+                TaskId task = TaskId.parse(in.readString());
+                long attempt = in.readLong();
+                TaskState state = STATES[in.readInt()];
+                int cause = in.readInt();
+                return new ReportedTask(task, attempt, state, cause < 0 ? null : CAUSES[cause], in.readBoolean());
+            }), list(in, in::readLong));
     }
 
-    private static Observation observation(GenericRecord r) {
-        List<ReportedTask> tasks = new ArrayList<>();
-        for (Object o : (List<?>) r.get("tasks")) {
-            GenericRecord t = (GenericRecord) o;
-            int cause = (int) t.get("cause");
-            tasks.add(new ReportedTask(TaskId.parse(text(t, "task")), whole(t, "attempt"),
-                TaskState.values()[(int) t.get("state")], cause < 0 ? null : ExitCause.values()[cause],
-                (boolean) t.get("saved")));
-        }
-        List<Long> gone = new ArrayList<>();
-        for (Object o : (List<?>) r.get("gone")) {
-            gone.add((Long) o);
-        }
-        return new Observation(text(r, "node"), whole(r, "incarnation"), text(r, "block"), whole(r, "term"),
-            text(r, "machine"), text(r, "address"), text(r, "type"), text(r, "zone"), (boolean) r.get("spot"),
-            whole(r, "shift"), (Double) r.get("notice"), (boolean) r.get("silent"), List.copyOf(tasks),
-            List.copyOf(gone));
-    }
-
-    private static BidSheet sheet(GenericRecord r) {
+    private static BidSheet sheet(Decoder in) throws IOException {
+        String node = in.readString();
+        long incarnation = in.readLong();
+        long ledger = in.readLong();
         Map<String, Long> terms = new HashMap<>();
-        ((Map<?, ?>) r.get("terms")).forEach((k, v) -> terms.put(k.toString(), (Long) v));
-        List<Bid> bids = new ArrayList<>();
-        for (Object o : (List<?>) r.get("bids")) {
-            GenericRecord b = (GenericRecord) o;
-            bids.add(new Bid(text(b, "machine"), whole(b, "shift"), text(b, "job"), (int) b.get("slots"),
-                (double) b.get("finish")));
+        for (long n = in.readMapStart(); n > 0; n = in.mapNext()) {
+            for (long i = 0; i < n; i++) {
+                terms.put(in.readString(), in.readLong());
+            }
         }
-        return new BidSheet(text(r, "node"), whole(r, "incarnation"), whole(r, "ledger"), terms, List.copyOf(bids));
-    }
-
-    private static String text(GenericRecord r, String field) {
-        return r.get(field).toString();
-    }
-
-    private static long whole(GenericRecord r, String field) {
-        return (long) r.get(field);
+        return new BidSheet(node, incarnation, ledger, terms, list(in, () ->
+            new Bid(in.readString(), in.readLong(), in.readString(), in.readInt(), in.readDouble())));
     }
 }
--- a/src/main/java/garnetscale/wire/Cbor.java
+++ b/src/main/java/garnetscale/wire/Cbor.java
@@ -2,13 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -27,14 +24,7 @@
     /** Reads exactly one value; anything else is an IOException. */
     public static Object read(byte[] body) throws IOException {
         try (JsonParser p = FACTORY.createParser(body)) {
-            if (p.nextToken() == null) {
-                throw new IOException("empty body");
-            }
-            Object value = value(p);
-            if (p.nextToken() != null) {
-                throw new IOException("more than one value");
-            }
-            return value;
+            return Trees.read(p);
         }
     }
 
@@ -45,40 +35,6 @@
         throw new IOException("not a map");
     }
 
-    private static Object value(JsonParser p) throws IOException {
-        JsonToken t = p.currentToken();
-        return switch (t) {
-            case START_OBJECT -> {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (p.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = p.currentName();
-                    p.nextToken();
-                    map.put(name, value(p));
-                }
-                if (p.currentToken() != JsonToken.END_OBJECT) {
-                    throw new IOException("map cut short");
-                }
-                yield map;
-            }
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (p.nextToken() != JsonToken.END_ARRAY) {
-                    if (p.currentToken() == null) {
-                        throw new IOException("list cut short");
-                    }
-                    list.add(value(p));
-                }
-                yield list;
-            }
-            case VALUE_STRING -> p.getText();
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> p.getNumberValue();
-            case VALUE_TRUE -> Boolean.TRUE;
-            case VALUE_FALSE -> Boolean.FALSE;
-            case VALUE_NULL -> null;
-            default -> throw new IOException("not in the protocol: " + t);
-        };
-    }
-
     public static byte[] write(Object value) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(256);
         try (JsonGenerator g = FACTORY.createGenerator(out)) {
--- a/src/test/java/garnetscale/peer/PeerCodecTest.java
+++ b/src/test/java/garnetscale/peer/PeerCodecTest.java
@@ -1,7 +1,9 @@
 package garnetscale.peer;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetscale.core.bid.Bid;
 import garnetscale.core.bid.BidSheet;
@@ -13,10 +15,20 @@
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.ReportedTask;
 import garnetscale.core.machine.TaskState;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import org.apache.avro.Schema;
+import org.apache.avro.generic.GenericDatumReader;
+import org.apache.avro.generic.GenericDatumWriter;
+import org.apache.avro.generic.GenericRecord;
+import org.apache.avro.io.BinaryDecoder;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.EncoderFactory;
 import org.junit.jupiter.api.Test;
 
 /** What controllers say to each other comes out as it went in, and half of it doesn't come out at all. */
@@ -42,6 +54,57 @@
         }
     }
 
+    /** The schema is what a message is: Avro's own reader finds it whole by it, and its writer gives the same bytes. */
+    @Test
+    void everyMessageIsWhatTheSchemaSays() throws IOException {
+        Schema schema;
+        try (InputStream in = PeerCodec.class.getResourceAsStream("/peer.avsc")) {
+            schema = new Schema.Parser().parse(in);
+        }
+        PeerCodec codec = new PeerCodec();
+        for (PeerMessage m : MESSAGES) {
+            byte[] ours = codec.encode(m);
+            BinaryDecoder in = DecoderFactory.get().binaryDecoder(ours, null);
+            GenericRecord read = new GenericDatumReader<GenericRecord>(schema).read(null, in);
+            assertTrue(in.isEnd(), m + " has more than the schema says");
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            BinaryEncoder encoder = EncoderFactory.get().directBinaryEncoder(out, null);
+            new GenericDatumWriter<GenericRecord>(schema).write(read, encoder);
+            encoder.flush();
+            assertArrayEquals(ours, out.toByteArray(), m.toString());
+            String name = m instanceof PeerMessage.Seen ? "Observation" : m instanceof PeerMessage.Bids ? "BidSheet"
+                : m.getClass().getSimpleName();
+            assertEquals(name, read.getSchema().getName());
+            for (Schema.Field f : read.getSchema().getFields()) {
+                assertTrue(read.get(f.pos()) != null || f.name().equals("notice"), name + "." + f.name());
+            }
+        }
+    }
+
+    /** The fields of one message, by their names in the schema. */
+    @Test
+    void fieldsStandWhereTheSchemaHasThem() throws IOException {
+        Schema schema;
+        try (InputStream in = PeerCodec.class.getResourceAsStream("/peer.avsc")) {
+            schema = new Schema.Parser().parse(in);
+        }
+        byte[] bytes = new PeerCodec().encode(MESSAGES.get(4));
+        GenericRecord r = new GenericDatumReader<GenericRecord>(schema).read(null, DecoderFactory.get().binaryDecoder(bytes, null));
+        assertEquals("{\"node\": \"hive-0\", \"incarnation\": 4, \"block\": \"a/0\", \"term\": 1048577, \"machine\": \"m-000231\", "
+            + "\"address\": \"10.1.0.232:9000\", \"type\": \"g8\", \"zone\": \"a\", \"spot\": true, \"shift\": 2, \"notice\": 17.5, "
+            + "\"silent\": false, \"tasks\": [{\"task\": \"wk-000412/3\", \"attempt\": 16777217, \"state\": " + TaskState.RUNNING.ordinal()
+            + ", \"cause\": -1, \"saved\": false}, {\"task\": \"wk-000398/0\", \"attempt\": 16777218, \"state\": "
+            + TaskState.EXITED.ordinal() + ", \"cause\": " + ExitCause.STOPPED.ordinal() + ", \"saved\": true}], \"gone\": [16777219]}",
+            r.toString());
+    }
+
+    @Test
+    void moreThanOneMessageIsRefused() {
+        PeerCodec codec = new PeerCodec();
+        byte[] one = codec.encode(MESSAGES.get(2));
+        assertThrows(IOException.class, () -> codec.decode(Arrays.copyOf(one, one.length + 1)));
+    }
+
     @Test
     void aMessageCutShortIsRefused() {
         PeerCodec codec = new PeerCodec();
