--- a/src/main/java/garnetscale/core/block/Holder.java
+++ b/src/main/java/garnetscale/core/block/Holder.java
@@ -193,7 +193,8 @@
             m.token = r.token();
         }
         m.startsInAnswer.clear();
-        m.dirty = true;
+        boolean couldBid = mayBid(now, m);
+        boolean alike = m.last != null && m.last.saysTheSame(r);
         accept(now, m, r);
         m.lastReportAt = now;
         proveGone(m, mine);
@@ -205,7 +206,13 @@
             }
         }
         ask(now, m, r.address());
+        // All that going over the machine would do is done, but for what only a command can: that is due when the answer is
+        // lost. Most reports bring nothing new, and bids are made anew only for those that do.
+        m.dirty = false;
+        m.restless = !orders.isEmpty() || m.commandInFlight || m.unreachable();
         observe(now, m, mine);
+        judge(now, m);
+        offerDue |= !alike || couldBid != mayBid(now, m);
         return new Reply.Answer(m.token, orders);
     }
 
@@ -434,6 +441,11 @@
 
     /** A peer has cancelled a job for its user. A cancelled job stays cancelled, so its word is enough. */
     public void onCancelled(String job) {
+        for (MachineView m : machines.values()) {
+            for (Placement p : mirror.placements(m.id)) {
+                m.dirty |= p.task().job().equals(job);
+            }
+        }
         cancelledByPeers.add(job);
         if (cancelledByPeers.size() > REMEMBERED) {
             Iterator<String> oldest = cancelledByPeers.iterator();
@@ -512,6 +524,8 @@
         boolean sweep = now - sweptAt >= params.reportMs() / 4;
         if (sweep) {
             sweptAt = now;
+            // Time alone opens scarce types, ends pauses of machines that failed and moves the order of lines.
+            offerDue = true;
             adoptPlaced();
             probe(now);
         }
@@ -553,20 +567,24 @@
         lapse(now, m, mine);
         proveGone(m, mine);
         if (m.last != null && m.last.shift() > m.lapsedShift) {
-            List<Estimator.UnderWay> running = new ArrayList<>();
-            for (Map.Entry<Long, Long> e : m.runningSince.entrySet()) {
-                ReportedTask t = m.last.find(e.getKey());
-                JobView job = t == null ? null : mirror.job(t.task().job());
-                if (job != null && !t.exited()) {
-                    running.add(new Estimator.UnderWay(job.spec(), (now - e.getValue()) / 1000.0));
-                }
-            }
-            estimator.judge(m.id, running);
+            judge(now, m);
             command(now, m, mine);
         }
         observe(now, m, mine);
     }
 
+    private void judge(long now, MachineView m) {
+        List<Estimator.UnderWay> running = new ArrayList<>();
+        for (Map.Entry<Long, Long> e : m.runningSince.entrySet()) {
+            ReportedTask t = m.last.find(e.getKey());
+            JobView job = t == null ? null : mirror.job(t.task().job());
+            if (job != null && !t.exited()) {
+                running.add(new Estimator.UnderWay(job.spec(), (now - e.getValue()) / 1000.0));
+            }
+        }
+        estimator.judge(m.id, running);
+    }
+
     /** Machines with placements that nobody has heard of in this term still have to be proved dead or alive. */
     private void adoptPlaced() {
         // Machines that were returned would be told of as silent for ever, and their holder be taken for deaf.
@@ -745,8 +763,7 @@
         for (MachineView m : machines.values()) {
             Report r = m.last;
             MachineType type = r == null ? null : mirror.type(r.type());
-            if (type == null || hearing.deaf() || !m.answers || m.unreachable() || silent(now, m) || r.shift() <= m.lapsedShift || r.noticeS() != null
-                || now < m.noBidsUntil) {
+            if (type == null || !mayBid(now, m)) {
                 continue;
             }
             Room room = rooms.of(m.id, type);
@@ -767,6 +784,12 @@
         return list;
     }
 
+    private boolean mayBid(long now, MachineView m) {
+        Report r = m.last;
+        return r != null && !hearing.deaf() && m.answers && !m.unreachable() && !silent(now, m) && r.shift() > m.lapsedShift
+            && r.noticeS() == null && now >= m.noBidsUntil;
+    }
+
     private boolean isPlaced(String machine, long attempt) {
         for (Placement p : mirror.placements(machine)) {
             if (p.attempt() == attempt) {
--- a/src/main/java/garnetscale/net/HttpServer.java
+++ b/src/main/java/garnetscale/net/HttpServer.java
@@ -65,7 +65,7 @@
 
     /** Starts to listen; the future fails when the address is in use. */
     public ChannelFuture listen(String hostPort) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
             .option(ChannelOption.SO_BACKLOG, backlog)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -92,21 +92,29 @@
         }
     }
 
-    /** Bounds the time from a request's first bytes to its last. */
+    /** Bounds the time from a request's first bytes to its last. Nearly all come in one piece, and need no timer. */
     private static final class Pace extends ChannelInboundHandlerAdapter {
 
         private ScheduledFuture<?> deadline;
+        private boolean begun;
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-            if (deadline == null) {
+            begun = true;
+            ctx.fireChannelRead(bytes);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (begun && deadline == null) {
                 deadline = ctx.executor().schedule(() -> ctx.close(), ARRIVAL_S, TimeUnit.SECONDS);
             }
-            ctx.fireChannelRead(bytes);
+            ctx.fireChannelReadComplete();
         }
 
         /** The request is whole. */
         void arrived() {
+            begun = false;
             if (deadline != null) {
                 deadline.cancel(false);
                 deadline = null;
--- a/src/test/java/garnetscale/app/Town.java
+++ b/src/test/java/garnetscale/app/Town.java
@@ -16,6 +16,7 @@
 import garnetscale.standin.StateModel;
 import garnetscale.standin.StateService;
 import garnetscale.wire.Cbor;
+import garnetscale.timeline.Timeline;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -24,8 +25,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
@@ -36,41 +35,28 @@
  * with the mirrors that these keep, and a scripted service that loses answers, carries transactions out late and refuses. A
  * leader beside them ends jobs. Answers are held against what was told before their question.
  */
-final class Town {
+final class Town extends Timeline {
 
     private static final int NODES = 3;
     /** Asked about, and never submitted. */
     static final String NOBODYS = "wk-7";
     private static final MachineType TYPE = new MachineType("t", 8, 0, 32, 20, 1, 1, 0.5, 20, List.of("a"));
 
-    private record Event(long at, long order, Runnable run) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
-        }
-    }
-
     /** What users know: how far a job has come by the newest answer. */
     private enum Told {
         NOTHING, ACCEPTED, OVER
     }
 
-    final Random random;
     final StateModel state = new StateModel();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
     final List<Desk> desks = new ArrayList<>();
     private final Map<String, Told> told = new HashMap<>();
     private final Map<String, String> ends = new HashMap<>();
     private final Set<String> cancelAsked = new HashSet<>();
     private final Set<String> refused = new HashSet<>();
-    /** What came about, so that a test in which its meeting didn't fails. */
-    final Map<String, Integer> met = new TreeMap<>();
     final List<String> broken = new ArrayList<>();
     private final StateService service = new StateService(state, () -> this.now, 300);
     /** The store's revision at each time at which it changed, for what a mirror must hold. */
     private final TreeMap<Long, Long> ledgers = new TreeMap<>();
-    private long order;
-    long now;
     /** Shares of transactions of which only the answer is lost, and of those that are carried out late without one. */
     double answerLost;
     double late;
@@ -78,7 +64,7 @@
     boolean ending = true;
 
     Town(long seed) {
-        random = new Random(seed);
+        super(seed);
         state.commit(new Txn().put(Keys.TYPES, Records.types(List.of(TYPE))));
         refused.add(NOBODYS);
         for (int i = 0; i < NODES; i++) {
@@ -94,30 +80,6 @@
         });
     }
 
-    void at(long delay, Runnable run) {
-        events.add(new Event(now + delay, order++, run));
-    }
-
-    private void every(long ms, Runnable run) {
-        at(ms, () -> {
-            run.run();
-            every(ms, run);
-        });
-    }
-
-    void run(long until) {
-        while (!events.isEmpty() && events.peek().at <= until) {
-            Event e = events.poll();
-            now = e.at;
-            e.run.run();
-        }
-        now = until;
-    }
-
-    void met(String what) {
-        met.merge(what, 1, Integer::sum);
-    }
-
     private long hop() {
         return 1 + random.nextInt(random.nextInt(12) == 0 ? 250 : 5);
     }
--- a/src/test/java/garnetscale/core/sim/World.java
+++ b/src/test/java/garnetscale/core/sim/World.java
@@ -27,16 +27,14 @@
 import garnetscale.core.store.TxnResult;
 import garnetscale.standin.StateModel;
 import garnetscale.standin.WorkerModel;
+import garnetscale.timeline.Timeline;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -44,7 +42,7 @@
  * Controllers' cores, workers and a state service in one simulated time. Messages are delayed, lost, repeated and
  * held for minutes; nodes crash and come back; anything can be cut off. Everything follows from the seed.
  */
-final class World {
+final class World extends Timeline {
 
     static final MachineType TYPE = new MachineType("t", 8, 0, 32, 20, 1, 1, 0.5, 20, List.of("a", "b", "c"));
     static final long REPORT = 1000;
@@ -90,21 +88,12 @@
         }
     }
 
-    private record Event(long at, long order, Runnable run) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
-        }
-    }
-
-    final Random random;
     final Rules rules;
     final StateModel state = new StateModel();
     final List<Node> nodes = new ArrayList<>();
     final List<Worker> workers = new ArrayList<>();
     /** Jobs that were submitted with a mistake: their tasks fail wherever they run. */
     final Set<String> broken = new HashSet<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<String, Long> cutUntil = new HashMap<>();
     private final Map<String, Long> frozenUntil = new HashMap<>();
     private final Map<String, Worker> byId = new HashMap<>();
@@ -114,11 +103,8 @@
     private final List<Report> kept = new ArrayList<>();
     private final Map<String, Long> blockTerms = new HashMap<>();
     private final Map<String, Long> blockMovedAt = new HashMap<>();
-    final Map<String, Integer> met = new TreeMap<>();
     private final Fault fault;
     final Shape shape;
-    private long order;
-    long now;
     long outageUntil;
     long copiesUntil;
     double loss = 0.002;
@@ -143,7 +129,7 @@
     private final Map<String, Long> muteUntil = new HashMap<>();
 
     World(long seed, Fault fault, Shape shape) {
-        this.random = new Random(seed);
+        super(seed);
         this.fault = fault;
         this.shape = shape;
         this.rules = new Rules(Map.of("red", shape.red(), "blue", shape.blue()), zones, CANCEL, () -> now);
@@ -175,33 +161,8 @@
         return observer;
     }
 
-    /** Something that a day is steered into came about. */
-    void met(String what) {
-        met.merge(what, 1, Integer::sum);
-    }
-
     // ---- time
 
-    void at(long delay, Runnable run) {
-        events.add(new Event(now + delay, order++, run));
-    }
-
-    private void every(long period, Runnable run) {
-        at(period, () -> {
-            run.run();
-            every(period, run);
-        });
-    }
-
-    void run(long until) {
-        while (!events.isEmpty() && events.peek().at <= until) {
-            Event e = events.poll();
-            now = e.at;
-            e.run.run();
-        }
-        now = until;
-    }
-
     private void sweep() {
         if (now >= outageUntil) {
             state.expire(now);
