--- a/src/test/java/garnetscale/core/sim/MeetingsTest.java
+++ b/src/test/java/garnetscale/core/sim/MeetingsTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetscale.core.job.Priority;
-import garnetscale.core.job.TaskId;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
