--- a/src/main/java/garnetscale/app/Main.java
+++ b/src/main/java/garnetscale/app/Main.java
@@ -1,5 +1,6 @@
 package garnetscale.app;
 
+import garnetscale.core.Features;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -19,53 +20,91 @@
         subcommands = {Main.Check.class, Rehearsal.class})
 public final class Main implements Callable<Integer> {
 
+    private static final int GOOD = 0;
+    private static final int CANNOT_SERVE = 1;
+    private static final int BAD_INPUT = 2;
+
     @Option(names = "--config", paramLabel = "FILE", description = "Serve with the platform's settings in FILE (TOML).")
     Path config;
 
-    @Command(name = "check", mixinStandardHelpOptions = true, description = "Validate settings without serving.")
+    @Option(
+            names = "--features",
+            paramLabel = "FILE",
+            description = "What is switched on, in FILE (TOML); without it nothing is.")
+    Path features;
+
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = "Validate settings or features without serving.")
     static final class Check implements Callable<Integer> {
 
-        @Option(names = "--config", required = true, paramLabel = "FILE", description = "The settings file.")
+        @Option(names = "--config", paramLabel = "FILE", description = "The settings file.")
         Path config;
 
+        @Option(names = "--features", paramLabel = "FILE", description = "The features file.")
+        Path features;
+
         @Override
         public Integer call() {
+            if (config == null && features == null) {
+                System.err.println("garnetscale: --config FILE or --features FILE is missing; see --help");
+                return BAD_INPUT;
+            }
+            boolean good = features == null || check(features, FeaturesFile::read);
+            good &= config == null || check(config, Settings::read);
+            return good ? GOOD : BAD_INPUT;
+        }
+
+        private interface Reader {
+            Object read(Path file) throws Settings.Faults;
+        }
+
+        private static boolean check(Path file, Reader reader) {
             try {
-                Settings.read(config);
-                System.out.println(config + ": good");
-                return 0;
+                reader.read(file);
+                System.out.println(file + ": good");
+                return true;
             } catch (Settings.Faults e) {
-                e.faults().forEach(f -> System.err.println(config + ": " + f));
-                return 2;
+                print(file, e);
+                return false;
             }
         }
     }
 
+    private static void print(Path file, Settings.Faults faults) {
+        faults.faults().forEach(fault -> System.err.println(file + ": " + fault));
+    }
+
     @Override
     public Integer call() throws InterruptedException {
         if (config == null) {
             System.err.println("garnetscale: --config FILE is missing; see --help");
-            return 2;
+            return BAD_INPUT;
         }
-        return serve(config);
+        return serve(config, features);
     }
 
-    private static int serve(Path config) throws InterruptedException {
+    /** Serves until the process is killed; {@code features} may be null. */
+    private static int serve(Path config, Path features) throws InterruptedException {
+        Path reading = features;
         Settings settings;
         try {
-            settings = Settings.read(config);
+            Features switchedOn = features == null ? Features.NONE : FeaturesFile.read(features);
+            reading = config;
+            settings = Settings.read(config, switchedOn);
         } catch (Settings.Faults e) {
-            System.err.println("garnetscale: " + config + ": " + e.getMessage());
-            return 2;
+            print(reading, e);
+            return BAD_INPUT;
         }
         try {
             new Node(settings).start();
         } catch (IOException e) {
             System.err.println("garnetscale: " + e.getMessage());
-            return 1;
+            return CANNOT_SERVE;
         }
         new CountDownLatch(1).await();
-        return 0;
+        return GOOD;
     }
 
     private static void setUpLogging() {
@@ -89,10 +128,13 @@
 
     public static void main(String[] args) throws InterruptedException {
         setUpLogging();
-        // The platform's own call, at every restart: the class archive can't hold picocli, and parsing these two
+        // The platform's own call, at every restart: the class archive can't hold picocli, and parsing these few
         // words with it would take a third of the start-up.
         if (args.length == 2 && args[0].equals("--config")) {
-            System.exit(serve(Path.of(args[1])));
+            System.exit(serve(Path.of(args[1]), null));
+        }
+        if (args.length == 4 && args[0].equals("--features") && args[2].equals("--config")) {
+            System.exit(serve(Path.of(args[3]), Path.of(args[1])));
         }
         System.exit(new CommandLine(new Main()).execute(args));
     }
--- a/src/main/java/garnetscale/app/Rehearsal.java
+++ b/src/main/java/garnetscale/app/Rehearsal.java
@@ -1,5 +1,6 @@
 package garnetscale.app;
 
+import garnetscale.core.Features;
 import garnetscale.net.HttpClient;
 import garnetscale.net.HttpResult;
 import garnetscale.standin.StandIns;
@@ -42,12 +43,19 @@
     @Option(names = "--seconds", defaultValue = "20", description = "Give up after so long (default ${DEFAULT-VALUE}).")
     int seconds;
 
+    @Option(
+            names = "--features",
+            paramLabel = "FILE",
+            description = "What is switched on, in FILE (TOML); without it nothing is.")
+    Path features;
+
     private final List<Node> nodes = new ArrayList<>();
     private EventLoopGroup loop;
     private HttpClient http;
 
     @Override
     public Integer call() throws Exception {
+        Features switchedOn = features == null ? Features.NONE : FeaturesFile.read(features);
         loop = new NioEventLoopGroup(1);
         http = new HttpClient(loop, 2, 500);
         Path dir = Files.createTempDirectory("garnetscale");
@@ -62,7 +70,7 @@
             for (int i = 0; i < 2; i++) {
                 Path file = dir.resolve("node-" + i + ".toml");
                 Files.writeString(file, settings(i, listen, back, state, cloud));
-                Node node = new Node(Settings.read(file));
+                Node node = new Node(Settings.read(file, switchedOn));
                 nodes.add(node);
                 node.start();
             }
--- a/src/main/java/garnetscale/app/Settings.java
+++ b/src/main/java/garnetscale/app/Settings.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import garnetscale.core.Features;
 import garnetscale.core.Params;
 import garnetscale.wire.Trees;
 import java.io.IOException;
@@ -30,7 +31,12 @@
         }
     }
 
+    /** The settings of a controller on which nothing is switched on. */
     static Settings read(Path file) throws Faults {
+        return read(file, Features.NONE);
+    }
+
+    static Settings read(Path file, Features features) throws Faults {
         Object root;
         // The parser alone: to make a mapper, which this has no use for, took a third of the whole start-up.
         try (JsonParser p = new TomlFactory().createParser(Files.readString(file))) {
@@ -40,10 +46,10 @@
         } catch (IOException e) {
             throw new Faults(List.of("can't be read: " + e));
         }
-        return new Reader(root).settings();
+        return new Reader(root).settings(features);
     }
 
-    private static String at(JsonProcessingException e) {
+    static String at(JsonProcessingException e) {
         return e.getLocation() == null ? "" : ", line " + e.getLocation().getLineNr();
     }
 
@@ -56,7 +62,7 @@
             this.root = root;
         }
 
-        Settings settings() throws Faults {
+        Settings settings(Features features) throws Faults {
             String self = text(root, "", "node_name");
             String site = text(root, "", "site");
             String listen = address(root, "", "listen");
@@ -110,7 +116,8 @@
                     above0(path(facts, "cloud"), "facts.cloud.", "rps"),
                     Math.round(1000 * atLeast0(path(facts, "cloud"), "facts.cloud.", "list_lag_s")),
                     (int) above0(limits, "facts.machine_limits.", "max_connections"),
-                    Math.round(numberOr0(facts, "time_bound_ms")));
+                    Math.round(numberOr0(facts, "time_bound_ms")),
+                    features);
             double cpu = above0(limits, "facts.machine_limits.", "cpu");
             double ram = above0(limits, "facts.machine_limits.", "ram_mb");
             if (params.txnOps() > 0 && params.txnOps() < 16) {
--- a/src/main/java/garnetscale/core/Params.java
+++ b/src/main/java/garnetscale/core/Params.java
@@ -24,7 +24,11 @@
         double cloudRps,
         long listLagMs,
         int maxConnections,
-        long clockOffMs) {
+        long clockOffMs,
+        Features features) {
+
+    /** How long a job's end is kept in mind, while jobs end as fast as the state service can store it. */
+    private static final double ENDS_REMEMBERED_S = 200;
 
     /** A controller node, this one included. */
     public record Member(String name, String zone, String address) {}
@@ -83,6 +87,22 @@
         return Math.max(8, maxConnections / 16);
     }
 
+    /**
+     * Cancellations by other controllers that a holder keeps in mind: as many as the state service can store until a task
+     * of one would be gone in any case. It counts a second's burst beside the steady rate.
+     */
+    public int cancellationsRemembered() {
+        return (int) Math.ceil(stateWritesPerS * (cancelMs / 1000.0 + 1));
+    }
+
+    /**
+     * Jobs whose end a controller keeps in mind, so that it need not ask for it: those that can have ended within this
+     * time, at two changes each.
+     */
+    public int endsRemembered() {
+        return (int) Math.ceil(stateWritesPerS * ENDS_REMEMBERED_S / 2);
+    }
+
     public String zoneOfNode(String name) {
         for (Member m : members) {
             if (m.name().equals(name)) {
--- a/src/test/java/garnetscale/core/TestParams.java
+++ b/src/test/java/garnetscale/core/TestParams.java
@@ -24,6 +24,7 @@
     private double cloudRps = 1.5;
     private long listLagMs = 10_000;
     private int maxConnections = 600;
+    private Features features = Features.NONE;
 
     private TestParams() {}
 
@@ -85,6 +86,11 @@
         return this;
     }
 
+    public TestParams features(Features all) {
+        features = all;
+        return this;
+    }
+
     public TestParams listLagMs(long lag) {
         listLagMs = lag;
         return this;
@@ -107,6 +113,7 @@
                 cloudRps,
                 listLagMs,
                 maxConnections,
-                CLOCK_OFF_MS);
+                CLOCK_OFF_MS,
+                features);
     }
 }
