Memories by the settings; workers share scarce sockets; long answers are listed

Cause: fixed bounds that were chosen for some hundred machines. A holder remembered 4,096 cancellations and a controller 4,096 ends, whatever the settings; an answer to a watch of over 8 MiB was dropped and asked for again for ever; of more workers than sockets the late ones found none and lost their leases. Change: the memories follow from what the state service can store; an answer may take a twentieth of the heap, and a longer one is replaced by a listing; from a share of the sockets in use on (feature shared_sockets) a worker's connection is closed after each answer, so that workers take turns.

--- a/src/main/java/garnetscale/app/Archive.java
+++ b/src/main/java/garnetscale/app/Archive.java
@@ -20,7 +20,6 @@
  */
 final class Archive {
 
-    private static final int CACHED = 4096;
     /** Conditions that a transaction may have, in multiples of its changes. */
     private static final int CONDITIONS = 4;
     /** Questions that may wait, in multiples of what one request takes; more than that are refused at once. */
@@ -57,15 +56,17 @@
 
     private boolean busy;
     /** Jobs that are over; their state never changes again. */
-    private final Map<String, Records.Archived> over = new LinkedHashMap<>(64, 0.75f, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Records.Archived> eldest) {
-            return size() > CACHED;
-        }
-    };
+    private final Map<String, Records.Archived> over;
 
-    Archive(int txnOps, Store state) {
+    /** At most {@code remembered} ends are kept, the latest asked for. */
+    Archive(int txnOps, int remembered, Store state) {
         this.state = state;
+        this.over = new LinkedHashMap<>(64, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Records.Archived> eldest) {
+                return size() > remembered;
+            }
+        };
         this.atOnce = CONDITIONS * txnOps;
     }
 
--- a/src/main/java/garnetscale/app/JobApi.java
+++ b/src/main/java/garnetscale/app/JobApi.java
@@ -63,7 +63,7 @@
         this.params = params;
         this.replica = replica;
         this.state = state;
-        this.archive = new Archive(params.txnOps(), state);
+        this.archive = new Archive(params.txnOps(), params.endsRemembered(), state);
         this.why = why;
         this.cancelled = cancelled;
     }
--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -131,7 +131,7 @@
                 this::onListed);
         this.front = new JobApi(params, replica, state, this::why, this::onCancelled);
         this.peers = new PeerLinks(loop, this::onPeer, this::onLink, this::onRefused);
-        Sockets sockets = new Sockets(params.maxConnections());
+        Sockets sockets = new Sockets(params.maxConnections(), params.features().sharedSocketsFrom());
         this.workers = new HttpClient(loop, 1, sockets, 1000);
         this.server = new HttpServer(loop, sockets, params.maxConnections(), this::onRequest);
     }
--- a/src/main/java/garnetscale/core/block/BlockHolder.java
+++ b/src/main/java/garnetscale/core/block/BlockHolder.java
@@ -76,7 +76,6 @@
     /** Sheets that fit into a window: often enough to close it early, and not for each change of a busy moment. */
     private static final int OFFERS_IN_WINDOW = 6;
 
-    private static final int REMEMBERED = 4096;
     /** As long as an answer to such a question is waited for. */
     private static final long ASK_AGAIN_MS = 2000;
 
@@ -457,7 +456,7 @@
             }
         }
         cancelledByPeers.add(job);
-        if (cancelledByPeers.size() > REMEMBERED) {
+        if (cancelledByPeers.size() > params.cancellationsRemembered()) {
             Iterator<String> oldest = cancelledByPeers.iterator();
             oldest.next();
             oldest.remove();
--- a/src/main/java/garnetscale/net/HttpClient.java
+++ b/src/main/java/garnetscale/net/HttpClient.java
@@ -43,8 +43,10 @@
 public final class HttpClient {
 
     private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
-    /** Bodies of watches have no size limit in the protocol; this is where a process would rather relist. */
-    private static final int MAX_BODY = 8 << 20;
+    /** The part of the heap that one answer may take: decoded it is several times as large, beside what it replaces. */
+    private static final int ANSWER_IN_HEAP = 20;
+    /** What an answer may take on any heap: twice the largest page of a listing. */
+    private static final int LEAST_MAX_BODY = 1 << 20;
 
     private final EventLoopGroup loop;
     private final int idlePerHost;
@@ -52,6 +54,9 @@
     private final Sockets sockets;
 
     private final long connectMs;
+    /** Answers to watches have no size limit in the protocol; beyond this one the store is listed anew, in pages. */
+    private final int maxBody;
+
     private final Map<String, Deque<Channel>> idle = new HashMap<>();
 
     public HttpClient(EventLoopGroup loop, int idlePerHost, long connectMs) {
@@ -60,10 +65,20 @@
 
     /** To many hosts: its connections are counted, and those at rest are closed for others. */
     public HttpClient(EventLoopGroup loop, int idlePerHost, Sockets sockets, long connectMs) {
+        this(loop, idlePerHost, sockets, connectMs, maxBody(Runtime.getRuntime().maxMemory()));
+    }
+
+    HttpClient(EventLoopGroup loop, int idlePerHost, Sockets sockets, long connectMs, int maxBody) {
         this.loop = loop;
         this.sockets = sockets;
         this.idlePerHost = idlePerHost;
         this.connectMs = connectMs;
+        this.maxBody = maxBody;
+    }
+
+    /** The longest answer that is taken on a heap of that size. */
+    static int maxBody(long heapBytes) {
+        return (int) Math.min(Integer.MAX_VALUE / 2, Math.max(LEAST_MAX_BODY, heapBytes / ANSWER_IN_HEAP));
     }
 
     private static final class Call {
@@ -196,7 +211,7 @@
     /** Collects one response at a time and ends the call that it answers. */
     private final class Handler extends ChannelInboundHandlerAdapter {
 
-        private final BodyCollector body = new BodyCollector(MAX_BODY);
+        private final BodyCollector body = new BodyCollector(maxBody);
         private Call call;
         private String host;
         /** The response that is arriving, or null. */
@@ -222,8 +237,15 @@
             }
             if (message instanceof HttpContent content && head != null) {
                 if (!body.add(content.content())) {
-                    LOG.error("an answer of {} is longer than {} bytes", host, MAX_BODY);
+                    LOG.info("an answer of {} is longer than {} bytes", host, maxBody);
+                    Call tooLong = call;
+                    call = null;
+                    head = null;
+                    body.take();
                     ctx.close();
+                    if (tooLong != null) {
+                        tooLong.end(HttpResult.TOO_LONG);
+                    }
                 } else if (message instanceof LastHttpContent) {
                     end(ctx);
                 }
--- a/src/main/java/garnetscale/net/HttpResult.java
+++ b/src/main/java/garnetscale/net/HttpResult.java
@@ -10,7 +10,8 @@
     public enum Outcome {
         ANSWERED,
         NOT_SENT,
-        NO_ANSWER
+        NO_ANSWER,
+        TOO_LONG
     }
 
     public static HttpResult answered(int status, byte[] body) {
@@ -20,11 +21,16 @@
     public static final HttpResult NOT_SENT = new HttpResult(Outcome.NOT_SENT, 0, new byte[0]);
     public static final HttpResult NO_ANSWER = new HttpResult(Outcome.NO_ANSWER, 0, new byte[0]);
 
+    /** The answer was longer than the caller takes. */
+    public static final HttpResult TOO_LONG = new HttpResult(Outcome.TOO_LONG, 0, new byte[0]);
+
     public boolean is(int wanted) {
         return outcome == Outcome.ANSWERED && status == wanted;
     }
 
     public boolean maybe() {
-        return outcome == Outcome.NO_ANSWER || outcome == Outcome.ANSWERED && status >= 500 && status != 503;
+        return outcome == Outcome.NO_ANSWER
+                || outcome == Outcome.TOO_LONG
+                || outcome == Outcome.ANSWERED && status >= 500 && status != 503;
     }
 }
--- a/src/main/java/garnetscale/net/HttpServer.java
+++ b/src/main/java/garnetscale/net/HttpServer.java
@@ -246,10 +246,11 @@
             if (!ctx.channel().isActive()) {
                 return;
             }
-            ChannelFuture written = ctx.writeAndFlush(response(reply, request.keepAlive()));
+            boolean keepAlive = request.keepAlive() && !(worker && sockets.isScarce());
+            ChannelFuture written = ctx.writeAndFlush(response(reply, keepAlive));
             busy = false;
             waitingSince = System.nanoTime();
-            if (!request.keepAlive()) {
+            if (!keepAlive) {
                 refused = true;
                 written.addListener(ChannelFutureListener.CLOSE);
                 return;
--- a/src/main/java/garnetscale/net/Sockets.java
+++ b/src/main/java/garnetscale/net/Sockets.java
@@ -31,9 +31,17 @@
     /** Closed here and already out of the count; Netty tells of their end only later. */
     private final Set<Channel> shed = new HashSet<>();
 
+    private final double sharedFrom;
     private int open;
 
+    /** Sockets that workers keep for themselves. */
     public Sockets(int maxConnections) {
+        this(maxConnections, Double.POSITIVE_INFINITY);
+    }
+
+    /** From that share of the sockets in use on, {@link #isScarce} asks workers to take turns. */
+    public Sockets(int maxConnections, double sharedFrom) {
+        this.sharedFrom = sharedFrom;
         this.most = Math.max(1, maxConnections - Math.max(LEAST_ASIDE, maxConnections / ASIDE));
         this.mostIdle = Math.max(1, maxConnections / IDLE);
     }
@@ -91,6 +99,15 @@
         }
     }
 
+    /**
+     * Whether so many sockets are in use that workers are to give theirs back after each answer: there may be more workers
+     * than sockets, and one that finds none loses its lease, while one that connects anew for each report does not.
+     * Connections at rest don't count, since a new one takes their place.
+     */
+    boolean isScarce() {
+        return open - users.size() - idle.size() >= sharedFrom * most;
+    }
+
     int open() {
         return open;
     }
--- a/src/test/java/garnetscale/app/ArchiveTest.java
+++ b/src/test/java/garnetscale/app/ArchiveTest.java
@@ -23,6 +23,7 @@
 class ArchiveTest {
 
     private static final int TXN_OPS = 32;
+    private static final int REMEMBERED = 50;
     private static final Records.Archived DONE = new Records.Archived(JobState.DONE, 3, 3, "red");
 
     /** Answers when told to; of the keys that are there it names only the first, as little as the protocol promises. */
@@ -60,7 +61,7 @@
     }
 
     private final Store store = new Store();
-    private final Archive archive = new Archive(TXN_OPS, store);
+    private final Archive archive = new Archive(TXN_OPS, REMEMBERED, store);
     private final Map<String, String> told = new TreeMap<>();
 
     private void ask(String id) {
@@ -124,6 +125,20 @@
         assertEquals(1000, told.size());
     }
 
+    /** What is kept follows from the settings; beyond it the end that was asked for the longest ago is read again. */
+    @Test
+    void endsAreRememberedUpToTheBound() {
+        for (int i = 0; i <= REMEMBERED; i++) {
+            archive.learn("wk-" + i, DONE);
+        }
+        ask("wk-" + REMEMBERED);
+        ask("wk-1");
+        assertEquals(0, store.requests);
+        ask("wk-0");
+        store.work();
+        assertTrue(store.requests > 0, "more is remembered than was allowed");
+    }
+
     @Test
     void whatTheLeaderTellsNeedsNoRequest() {
         archive.learn("wk-1", DONE);
--- a/src/test/java/garnetscale/core/block/CancellationMemoryTest.java
+++ b/src/test/java/garnetscale/core/block/CancellationMemoryTest.java
@@ -36,10 +36,10 @@
 
     private static final long TERM = Terms.blockTerm(1, 1);
     private static final long ATTEMPT = Terms.attempt(1, 1);
-    private static final int REMEMBERED = 4096;
 
     private final Params params =
             TestParams.small().teams(new Params.Team("red", 8, 64, 0, 0)).build();
+    private final int remembered = params.cancellationsRemembered();
     private final BlockHolder holder;
     private long tick;
 
@@ -83,14 +83,14 @@
     void aCancellationCountsAmongThousandsOfOthers() {
         assertEquals(List.of(), commandsForReport());
         holder.onCancelled("wk-1");
-        cancelOthers(REMEMBERED - 1);
+        cancelOthers(remembered - 1);
         assertEquals(List.of(new WorkerCommand.Stop(new TaskId("wk-1", 0), ATTEMPT, 0)), commandsForReport());
     }
 
     @Test
     void theOldestIsForgottenFirstSoThatTheMemoryIsBounded() {
         holder.onCancelled("wk-1");
-        cancelOthers(REMEMBERED);
+        cancelOthers(remembered);
         assertEquals(List.of(), commandsForReport());
     }
 }
--- /dev/null
+++ b/src/test/java/garnetscale/net/HttpClientTest.java
@@ -0,0 +1,60 @@
+package garnetscale.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The client against a server on loopback. */
+class HttpClientTest {
+
+    private static final int MAX_BODY = 100_000;
+    private static final long TIMEOUT_MS = 20_000;
+
+    private final EventLoopGroup loop = new NioEventLoopGroup(1);
+    private final HttpClient client = new HttpClient(loop, 1, null, 1000, MAX_BODY);
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private HttpResult get(String host, String path) {
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        loop.next().execute(() -> client.call(host, HttpMethod.GET, path, null, TIMEOUT_MS, result::complete));
+        return result.join();
+    }
+
+    @Test
+    void anAnswerThatIsTooLongEndsItsCallAndNoOther() {
+        ChannelFuture listening = new HttpServer(
+                        loop,
+                        new Sockets(20),
+                        16,
+                        (method, path, body, answer) ->
+                                answer.accept(Reply.of(200, new byte[path.equals("/long") ? MAX_BODY + 1 : MAX_BODY])))
+                .listen("127.0.0.1:0")
+                .awaitUninterruptibly();
+        String host = "127.0.0.1:" + ((InetSocketAddress) listening.channel().localAddress()).getPort();
+        assertEquals(MAX_BODY, get(host, "/short").body().length);
+        HttpResult tooLong = get(host, "/long");
+        assertEquals(HttpResult.Outcome.TOO_LONG, tooLong.outcome());
+        assertTrue(tooLong.maybe(), "it was carried out");
+        assertEquals(MAX_BODY, get(host, "/short").body().length);
+    }
+
+    @Test
+    void aLargerHeapTakesLongerAnswers() {
+        assertEquals(4 << 20, HttpClient.maxBody(80L << 20));
+        assertEquals(1 << 20, HttpClient.maxBody(8L << 20));
+        assertTrue(HttpClient.maxBody(1L << 40) > 0);
+    }
+}
--- a/src/test/java/garnetscale/net/HttpServerTest.java
+++ b/src/test/java/garnetscale/net/HttpServerTest.java
@@ -29,14 +29,16 @@
     @BeforeEach
     void start() {
         loop = new NioEventLoopGroup(1);
+        port = listen(new Sockets(12));
+    }
+
+    /** Serves what echoes every body, and returns its port. */
+    private int listen(Sockets sockets) {
         ChannelFuture f = new HttpServer(
-                        loop,
-                        new Sockets(12),
-                        16,
-                        (method, path, body, answer) -> answer.accept(new Reply(200, body, 2)))
+                        loop, sockets, 16, (method, path, body, answer) -> answer.accept(new Reply(200, body, 2)))
                 .listen("127.0.0.1:0")
                 .awaitUninterruptibly();
-        port = ((InetSocketAddress) f.channel().localAddress()).getPort();
+        return ((InetSocketAddress) f.channel().localAddress()).getPort();
     }
 
     @AfterEach
@@ -142,4 +144,25 @@
             }
         }
     }
+
+    /** There may be more workers than sockets: each is answered, and gives its socket to the next. */
+    @Test
+    void workersTakeTurnsWithSocketsThatAreScarce() throws IOException {
+        int sharing = listen(new Sockets(12, 0.5));
+        List<Socket> open = new ArrayList<>();
+        try {
+            for (int i = 0; i < 40; i++) {
+                Socket worker = new Socket("127.0.0.1", sharing);
+                worker.setSoTimeout(20_000);
+                open.add(worker);
+                worker.getOutputStream()
+                        .write("POST /hello HTTP/1.1\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertEquals("HTTP/1.1 200 OK", firstLine(worker), "worker " + i);
+            }
+        } finally {
+            for (Socket worker : open) {
+                worker.close();
+            }
+        }
+    }
 }
--- a/src/test/java/garnetscale/net/SocketsTest.java
+++ b/src/test/java/garnetscale/net/SocketsTest.java
@@ -63,6 +63,23 @@
         assertEquals(0, sockets.open());
     }
 
+    /** What is at rest doesn't make sockets scarce, since a new connection takes its place. */
+    @Test
+    void socketsAreScarceByWhatIsInUse() {
+        Sockets shared = new Sockets(LIMIT, 0.5);
+        int usable = LIMIT - LIMIT / 8;
+        for (int i = 0; i < usable; i++) {
+            assertTrue(shared.enter());
+            shared.restUser(new EmbeddedChannel());
+        }
+        assertFalse(shared.isScarce(), "users at rest make room");
+        for (int i = 0; i < usable; i++) {
+            assertEquals(i >= (usable + 1) / 2, shared.isScarce(), i + " workers of " + usable);
+            assertTrue(shared.enter());
+        }
+        assertFalse(sockets.isScarce(), "workers keep their sockets unless they are to share");
+    }
+
     @Test
     void aNewOneIsTurnedAwayWhenAllAreInUse() {
         while (sockets.enter()) {
