The base of the work log splits, so that a fleet of any size can be stored

Cause: a shard of the base is written whole in one transaction. With 14 tasks on each machine, 4,000 machines make a shard 120 KB, twice what a transaction may hold: the service refuses it, and the leader never writes again. Change: a region that has outgrown a value is split into buckets by the hash of what is in it, as many at a time as a transaction holds, and the ring of entries is three times as long as the regions are many. Written by the leader only with the feature growing_log on and when every live controller publishes that it knows the layout; one that doesn't finds the store torn. A leader whose term runs out of attempt numbers steps down, before a number could be given twice.

--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -4,6 +4,7 @@
 import garnetscale.core.block.NodeInfo;
 import garnetscale.core.store.Change;
 import garnetscale.core.store.Keys;
+import garnetscale.core.store.Layouts;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
@@ -172,7 +173,7 @@
         registering = true;
         long mine = lease;
         String key = Keys.node(params.self());
-        NodeInfo info = new NodeInfo(params.self(), mine, params.zoneOfNode(params.self()));
+        NodeInfo info = new NodeInfo(params.self(), mine, params.zoneOfNode(params.self()), Layouts.LATEST);
         send(new Txn().guard(key, replica.stamp(key)).put(key, Records.node(info), mine), (result, ledger) -> {
             registering = false;
             if (result == TxnResult.NO_LEASE && lease == mine) {
@@ -304,7 +305,8 @@
         long sentAt = now();
         String path = "/follow?starts=" + Keys.MIRRORED + "&since=" + replica.ledger() + "&wait_ms=" + waitMs;
         io.call(HttpMethod.GET, path, null, timeoutMs, r -> {
-            if (r.is(410)) {
+            // Too old, or more than this process takes at once: a listing comes in pages.
+            if (r.is(410) || r.outcome() == HttpResult.Outcome.TOO_LONG) {
                 if (!listing) {
                     list();
                 }
--- a/src/main/java/garnetscale/core/block/Terms.java
+++ b/src/main/java/garnetscale/core/block/Terms.java
@@ -10,6 +10,10 @@
     private static final int BLOCK_BITS = 20;
     private static final int TOKEN_BITS = 20;
     private static final int ATTEMPT_BITS = 24;
+    /** Attempts that one leader's term has numbers for. */
+    public static final int MOST_ATTEMPTS = (1 << ATTEMPT_BITS) - 1;
+    /** Block terms that one leader's term has numbers for. */
+    public static final int MOST_BLOCK_TERMS = (1 << BLOCK_BITS) - 1;
 
     private Terms() {}
 
--- a/src/main/java/garnetscale/core/lead/Draft.java
+++ b/src/main/java/garnetscale/core/lead/Draft.java
@@ -50,11 +50,11 @@
     private final Set<String> over = new LinkedHashSet<>();
     private int ops;
 
-    Draft(StateReplica replica, QuotaBook quota, int opLimit, int valueBytes) {
+    Draft(StateReplica replica, QuotaBook quota, LogWriter.Limits limits) {
         this.replica = replica;
         this.quota = quota;
-        this.log = new LogWriter(replica, valueBytes);
-        this.opLimit = opLimit;
+        this.log = new LogWriter(replica, limits);
+        this.opLimit = limits.ops();
         this.ops = log.ops();
     }
 
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -25,6 +25,8 @@
 import garnetscale.core.store.FreeCapacityCache;
 import garnetscale.core.store.JobView;
 import garnetscale.core.store.Keys;
+import garnetscale.core.store.Layouts;
+import garnetscale.core.store.LogWriter;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
@@ -102,7 +104,7 @@
     private long incarnation = -1;
     private LeaderInfo acting;
     private long actingSince;
-    private int sequence;
+    private final AttemptNumbers attempts = new AttemptNumbers();
     private int blockSequence;
     private long wallOffset;
 
@@ -149,7 +151,7 @@
         if (acting == null || acting.term() != term) {
             acting = replica.leader();
             actingSince = now;
-            sequence = 0;
+            attempts.begin(term);
             blockSequence = 0;
             machines.clear();
             exits.clear();
@@ -186,8 +188,21 @@
         }
     }
 
-    /** A leader that no machine is heard of under, although there are some, makes room for one that may do better. */
+    /** The numbers of the attempts that it places. */
+    AttemptNumbers attempts() {
+        return attempts;
+    }
+
+    /**
+     * The transaction by which it steps down, or null. A leader that no machine is heard of under, although there are some,
+     * makes room for one that may do better; one whose term has no numbers left needs a new term, its own or another's.
+     */
     public Txn resignation(long now) {
+        if (attempts.isNearlyUsedUp()
+                || blockSequence >= Terms.MOST_BLOCK_TERMS - blocks.all().size()) {
+            log.accept("steps down: the numbers of term " + acting.term() + " are used up");
+            return stepDown();
+        }
         long patience = 2 * params.nodeTtlMs() + 4 * params.reportMs();
         boolean deaf = machines.values().stream().allMatch(m -> m.last.silent());
         if (!deaf
@@ -199,6 +214,10 @@
         }
         notBefore = now + 4 * patience;
         log.accept("steps down: no machine is heard of");
+        return stepDown();
+    }
+
+    private Txn stepDown() {
         return new Txn().guard(Keys.LEADER, replica.stamp(Keys.LEADER)).delete(Keys.LEADER);
     }
 
@@ -323,20 +342,21 @@
         if (leases != null) {
             return leases;
         }
-        Draft draft = new Draft(replica, QuotaBook.of(params, replica), params.txnOps(), params.valueBytes());
+        LogWriter.Limits limits = new LogWriter.Limits(params.valueBytes(), params.txnOps(), maySplitBase());
+        Draft draft = new Draft(replica, QuotaBook.of(params, replica), limits);
         settle(now, draft);
         int perMachine = Math.max(8, params.valueBytes() / 64);
-        int before = sequence;
+        int before = attempts.given();
         new Awards(replica, auction, machines, perMachine, order, reserve, capacities)
-                .award(now, now + wallOffset, draft, failures, () -> Terms.attempt(acting.term(), ++sequence));
+                .award(now, now + wallOffset, draft, failures, attempts::next);
         if (now - judgedAt >= params.reportMs() / 2) {
             judgedAt = now;
             forgetSilent(now);
             judgeSpeed(now);
         }
         drain(now, draft);
-        preempt(now, draft, sequence == before);
-        if (sequence == before) {
+        preempt(now, draft, attempts.given() == before);
+        if (attempts.given() == before) {
             restartLate(now, draft);
         }
         for (JobView job : replica.jobs()) {
@@ -347,6 +367,12 @@
         return draft.isEmpty() ? null : draft.toTxn();
     }
 
+    /** Whether the base may be stored in a way that only controllers of layout 2 can read. */
+    private boolean maySplitBase() {
+        return params.features().growingLog()
+                && replica.nodes().stream().allMatch(n -> n.layout() >= Layouts.SPLIT_BASE);
+    }
+
     /** Finds the machines that are slow, and the jobs with tasks on them. */
     private void judgeSpeed(long now) {
         Set<String> jobs = new HashSet<>();
@@ -681,7 +707,10 @@
         for (String block : orphans) {
             NodeInfo best = null;
             for (NodeInfo n : replica.nodes()) {
-                if (suspects.containsKey(n.name()) || n.name().equals(deafHolder.get(block)) || isDeaf(n.name())) {
+                if (suspects.containsKey(n.name())
+                        || n.name().equals(deafHolder.get(block))
+                        || isDeaf(n.name())
+                        || !canRead(n)) {
                     continue;
                 }
                 if (best == null || cost(n, block, load) < cost(best, block, load)) {
@@ -729,6 +758,7 @@
             if (load.contains(n.name())
                     || suspects.containsKey(n.name())
                     || deafNodes.contains(n.name())
+                    || !canRead(n)
                     || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
                     || now - actingSince < 2 * params.nodeTtlMs()) {
                 continue;
@@ -764,6 +794,11 @@
 
     private boolean alive(BlockLease lease) {
         NodeInfo n = replica.node(lease.holder());
-        return n != null && n.incarnation() == lease.incarnation() && !suspects.containsKey(n.name());
+        return n != null && n.incarnation() == lease.incarnation() && !suspects.containsKey(n.name()) && canRead(n);
+    }
+
+    /** Whether a controller can read what is stored; one that can't decides nothing, and so can't hold a block. */
+    private boolean canRead(NodeInfo n) {
+        return n.layout() >= replica.layout();
     }
 }
--- /dev/null
+++ b/src/main/java/garnetscale/core/store/BaseIndex.java
@@ -0,0 +1,179 @@
+package garnetscale.core.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * Which buckets of the base are stored and how far each goes. A bucket may have been split and only some of its parts
+ * written so far, since all of them need not fit into one transaction; the rest is still read from where it was. So the
+ * base is seen as regions, each of which is stored in a bucket that is the region itself or contains it.
+ */
+final class BaseIndex {
+
+    /**
+     * A part of the base that is rewritten as a whole.
+     *
+     * @param stored the bucket that holds it, or null when nothing is stored of it yet
+     * @param number the entry of the work log that it goes up to
+     */
+    record Region(Bucket bucket, Bucket stored, long number) {}
+
+    /** A stored bucket: how far it goes, and its pages, more than one only for a root in layout 1. */
+    private record Stored(long number, int pages) {}
+
+    private final List<TreeMap<Bucket, Stored>> stored = new ArrayList<>();
+    private final List<List<Region>> regions = new ArrayList<>();
+
+    BaseIndex() {
+        for (int shard = 0; shard < WorkLog.SHARDS; shard++) {
+            stored.add(new TreeMap<>());
+            regions.add(List.of(new Region(Bucket.root(shard), null, 0)));
+        }
+    }
+
+    /** A copy that later changes leave as it is. */
+    BaseIndex copy() {
+        BaseIndex copy = new BaseIndex();
+        for (int shard = 0; shard < stored.size(); shard++) {
+            copy.stored.get(shard).putAll(stored.get(shard));
+            copy.regions.set(shard, regions.get(shard));
+        }
+        return copy;
+    }
+
+    /** The bucket that a key of the base belongs to. */
+    static Bucket bucketOf(String key) {
+        return Bucket.ofPage(shardOf(key), pageOf(key));
+    }
+
+    /** A page of the base was stored. */
+    void put(String key, long number) {
+        Bucket bucket = bucketOf(key);
+        int pages = bucket.isRoot() ? pageOf(key) + 1 : 1;
+        stored.get(bucket.shard())
+                .merge(
+                        bucket,
+                        new Stored(number, pages),
+                        (old, added) -> new Stored(
+                                Math.max(old.number(), added.number()), Math.max(old.pages(), added.pages())));
+        derive(bucket.shard());
+    }
+
+    /** A page of the base was removed. */
+    void remove(String key) {
+        Bucket bucket = bucketOf(key);
+        TreeMap<Bucket, Stored> shard = stored.get(bucket.shard());
+        Stored old = shard.get(bucket);
+        int left = bucket.isRoot() ? pageOf(key) : 0;
+        if (old != null && left == 0) {
+            shard.remove(bucket);
+        } else if (old != null) {
+            shard.put(bucket, new Stored(old.number(), Math.min(old.pages(), left)));
+        }
+        derive(bucket.shard());
+    }
+
+    /** How many pages the stored bucket has. */
+    int pages(Bucket bucket) {
+        Stored s = stored.get(bucket.shard()).get(bucket);
+        return s == null ? 0 : s.pages();
+    }
+
+    /** Whether some shard was split: what only layout 2 knows. */
+    boolean isSplit() {
+        for (TreeMap<Bucket, Stored> shard : stored) {
+            if (!shard.isEmpty() && !shard.lastKey().isRoot()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether a shard is stored in part only, as in a listing whose pages are of different moments. */
+    boolean isIncomplete() {
+        for (int shard = 0; shard < stored.size(); shard++) {
+            if (!stored.get(shard).isEmpty()
+                    && regions.get(shard).stream().anyMatch(region -> region.stored() == null)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    int regionCount() {
+        int count = 0;
+        for (List<Region> shard : regions) {
+            count += shard.size();
+        }
+        return count;
+    }
+
+    /** The region that goes least far. */
+    Region oldest() {
+        Region oldest = null;
+        for (List<Region> shard : regions) {
+            for (Region region : shard) {
+                if (oldest == null || region.number() < oldest.number()) {
+                    oldest = region;
+                }
+            }
+        }
+        return oldest;
+    }
+
+    /** The entry that the furthest region goes up to. */
+    long newest() {
+        long newest = 0;
+        for (List<Region> shard : regions) {
+            for (Region region : shard) {
+                newest = Math.max(newest, region.number());
+            }
+        }
+        return newest;
+    }
+
+    Region regionOf(int hash) {
+        for (Region region : regions.get(Bucket.shardOf(hash))) {
+            if (region.bucket().contains(hash)) {
+                return region;
+            }
+        }
+        throw new IllegalStateException("no region for hash " + hash);
+    }
+
+    /** The regions that are read from a stored bucket. */
+    List<Region> regionsIn(Bucket bucket) {
+        return regions.get(bucket.shard()).stream()
+                .filter(region -> bucket.equals(region.stored()))
+                .toList();
+    }
+
+    private void derive(int shard) {
+        List<Region> list = new ArrayList<>();
+        cover(Bucket.root(shard), null, 0, list);
+        regions.set(shard, List.copyOf(list));
+    }
+
+    /** Adds the regions of a bucket: it is one itself unless a part of it is stored apart. */
+    private void cover(Bucket bucket, Bucket from, long number, List<Region> into) {
+        TreeMap<Bucket, Stored> shard = stored.get(bucket.shard());
+        Stored here = shard.get(bucket);
+        Bucket holder = here == null ? from : bucket;
+        long upTo = here == null ? number : here.number();
+        if (shard.keySet().stream().noneMatch(other -> !other.equals(bucket) && bucket.contains(other))) {
+            into.add(new Region(bucket, holder, upTo));
+            return;
+        }
+        cover(bucket.child(0), holder, upTo, into);
+        cover(bucket.child(1), holder, upTo, into);
+    }
+
+    private static int shardOf(String key) {
+        return Integer.parseInt(key.substring(Keys.BASE.length(), key.lastIndexOf('/')));
+    }
+
+    private static int pageOf(String key) {
+        return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/store/BaseListing.java
@@ -0,0 +1,82 @@
+package garnetscale.core.store;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** The base of the work log as a listing brings it, page by page, each of its own moment. */
+final class BaseListing {
+
+    private record Page(Bucket bucket, WorkLog.Contents contents) {}
+
+    /** What the pages of a root in layout 1 say of themselves. */
+    private static final class RootPages {
+        private final long number;
+        private int expected;
+        private int found;
+
+        RootPages(long number) {
+            this.number = number;
+        }
+    }
+
+    private final BaseIndex index = new BaseIndex();
+    private final List<Page> pages = new ArrayList<>();
+    private final Map<Bucket, RootPages> roots = new HashMap<>();
+    private boolean ofSeveralMoments;
+
+    void add(String key, Object value) {
+        WorkLog.Contents contents = WorkLog.contents(value);
+        Bucket bucket = BaseIndex.bucketOf(key);
+        pages.add(new Page(bucket, contents));
+        index.put(key, contents.number());
+        if (bucket.isRoot()) {
+            RootPages root = roots.computeIfAbsent(bucket, k -> new RootPages(contents.number()));
+            ofSeveralMoments |= root.number != contents.number();
+            root.expected = WorkLog.pageCountOf(value);
+            root.found++;
+        }
+    }
+
+    BaseIndex index() {
+        return index;
+    }
+
+    /**
+     * Whether the listing doesn't hold together: the pages of a root are of different moments, so that a machine may have
+     * moved between them and be on neither, or a bucket was split while it was read.
+     */
+    boolean isTorn() {
+        return ofSeveralMoments
+                || index.isIncomplete()
+                || roots.values().stream().anyMatch(root -> root.expected != root.found);
+    }
+
+    void forEachMachine(BiConsumer<String, MachineRecord> receiver) {
+        for (Page page : pages) {
+            page.contents().machines().forEach((id, machine) -> {
+                if (isReadFrom(page, Bucket.hashOfMachine(id))) {
+                    receiver.accept(id, machine);
+                }
+            });
+        }
+    }
+
+    void forEachPart(BiConsumer<String, BitSet> receiver) {
+        for (Page page : pages) {
+            page.contents().parts().forEach((part, finished) -> {
+                if (isReadFrom(page, Bucket.hashOfPart(part))) {
+                    receiver.accept(part, finished);
+                }
+            });
+        }
+    }
+
+    /** Of a bucket that is split in part, what was written apart is newer there. */
+    private boolean isReadFrom(Page page, int hash) {
+        return page.bucket().equals(index.regionOf(hash).stored());
+    }
+}
--- a/src/main/java/garnetscale/core/store/Records.java
+++ b/src/main/java/garnetscale/core/store/Records.java
@@ -210,12 +210,13 @@
     }
 
     public static Map<String, Object> node(NodeInfo n) {
-        return Map.of("i", n.incarnation(), "z", n.zone());
+        return Map.of("i", n.incarnation(), "z", n.zone(), "l", n.layout());
     }
 
     static NodeInfo node(String name, Object value) {
         Map<?, ?> m = (Map<?, ?>) value;
-        return new NodeInfo(name, whole(m, "i"), text(m, "z"));
+        int layout = m.get("l") instanceof Number known ? known.intValue() : Layouts.FIRST;
+        return new NodeInfo(name, whole(m, "i"), text(m, "z"), layout);
     }
 
     public static Map<String, Object> leader(LeaderInfo l) {
--- a/src/main/java/garnetscale/core/store/StateReplica.java
+++ b/src/main/java/garnetscale/core/store/StateReplica.java
@@ -6,7 +6,6 @@
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
@@ -31,12 +30,13 @@
     private final Map<String, Long> stamps = new HashMap<>();
     /** Machines whose record changed since these were last taken. */
     private Set<String> changed = new HashSet<>();
-    /** The entry that each shard's base goes up to, and its pages. */
-    private final long[] bases = new long[WorkLog.SHARDS];
 
-    private final int[] pages = new int[WorkLog.SHARDS];
-    /** The entry that each shard's base went up to when it was read: of what it holds no older entry is news. */
-    private final long[] read = new long[WorkLog.SHARDS];
+    private BaseIndex base = new BaseIndex();
+    private LogRing ring = new LogRing();
+    /** How far the base went when it was read: of what it held no older entry is news. */
+    private BaseIndex baseRead = base;
+
+    private long baseReadUpTo;
 
     private List<MachineType> types = List.of();
     private LeaderInfo leader;
@@ -152,21 +152,46 @@
         return sequence;
     }
 
-    /** The shard whose base the next transaction should write anew, or -1. */
-    public int foldDue() {
-        return WorkLog.due(bases, sequence);
+    /** The region of the base that the next transaction should write anew, or null. */
+    BaseIndex.Region foldDue() {
+        BaseIndex.Region oldest = base.oldest();
+        return WorkLog.isDue(oldest.number(), sequence, base.regionCount()) ? oldest : null;
+    }
+
+    /** Whether a region has to be folded before the next entry may be written. */
+    boolean logFull() {
+        return ring.isFull(ringCapacity(), base.oldest().number());
+    }
+
+    /** The key of the last entry, or null when there is none. */
+    String lastEntryKey() {
+        return ring.keyOf(sequence);
+    }
+
+    /** The key that the next entry goes under. */
+    String nextEntryKey() {
+        return ring.next(ringCapacity());
     }
 
-    /** Whether a shard has to be folded before the next entry may be written. */
-    public boolean logFull() {
-        return WorkLog.full(bases, sequence);
+    private int ringCapacity() {
+        return WorkLog.capacity(base.regionCount());
     }
 
-    /** Everything that belongs to a shard of the base, as of the last entry; what is of jobs that are over falls out. */
-    WorkLog.Contents shard(int shard) {
+    /** How the base is stored. */
+    BaseIndex base() {
+        return base;
+    }
+
+    /** The layout that what is stored needs a controller to know. */
+    public int layout() {
+        return base.isSplit() ? Layouts.SPLIT_BASE : Layouts.FIRST;
+    }
+
+    /** Everything that belongs to a bucket of the base, as of the last entry; what is of jobs that are over falls out. */
+    WorkLog.Contents contents(Bucket bucket) {
         WorkLog.Contents c = new WorkLog.Contents(sequence, new LinkedHashMap<>(), new LinkedHashMap<>());
         machines.forEach((id, m) -> {
-            if (WorkLog.shardOfMachine(id) == shard) {
+            if (bucket.contains(Bucket.hashOfMachine(id))) {
                 c.machines().put(id, m);
             }
         });
@@ -174,7 +199,7 @@
             JobView.Marks m = marks.get(id);
             for (int i = 0; i < m.parts(); i++) {
                 String part = WorkLog.part(id, i);
-                if (WorkLog.shardOfPart(part) == shard) {
+                if (bucket.contains(Bucket.hashOfPart(part))) {
                     c.parts().put(part, m.part(i));
                 }
             }
@@ -182,11 +207,6 @@
         return c;
     }
 
-    /** How many pages the stored base of a shard has. */
-    int pages(int shard) {
-        return pages[shard];
-    }
-
     /**
      * Starts anew from a full listing; needed when the watch has lost the thread. The replica is torn afterwards when
      * the pages of a base are of different moments: a machine may have moved between them and be on neither.
@@ -202,38 +222,30 @@
         types = List.of();
         leader = null;
         termCounter = 0;
-        Arrays.fill(bases, 0);
-        Arrays.fill(pages, 0);
+        base = new BaseIndex();
+        ring = new LogRing();
         torn = false;
         TreeMap<Long, WorkLog.Entry> entries = new TreeMap<>();
-        Map<Integer, Long> firstPages = new HashMap<>();
-        int[] expected = new int[WorkLog.SHARDS];
+        BaseListing bases = new BaseListing();
         for (Change c : all) {
             stamps.put(c.key(), c.stamp());
             if (c.key().startsWith(Keys.LOG)) {
-                WorkLog.Entry e = WorkLog.entry(c.value());
-                entries.put(e.number(), e);
+                noteEntry(c, entries);
             } else if (c.key().startsWith(Keys.BASE)) {
-                WorkLog.Contents base = WorkLog.contents(c.value());
-                int shard = noteBase(c.key(), base.number());
-                expected[shard] = ((Number) ((Map<?, ?>) c.value()).get("c")).intValue();
-                torn |= firstPages.computeIfAbsent(shard, k -> base.number()) != base.number();
-                base.machines().forEach(this::applyMachine);
-                base.parts().forEach(this::applyPart);
+                bases.add(c.key(), c.value());
             } else {
                 applyPlain(c);
             }
         }
-        torn |= !Arrays.equals(expected, pages);
-        System.arraycopy(bases, 0, read, 0, read.length);
+        base = bases.index();
+        torn = bases.isTorn();
+        bases.forEachMachine(this::applyMachine);
+        bases.forEachPart(this::applyPart);
+        baseRead = base.copy();
+        baseReadUpTo = base.newest();
         // Pages of a listing are of different moments: behind the first gap are entries that the watch brings again.
-        sequence = bases[0];
-        for (long base : bases) {
-            sequence = Math.min(sequence, base);
-        }
-        for (WorkLog.Entry e = entries.get(sequence + 1); e != null; e = entries.get(sequence + 1)) {
-            applyEntry(e);
-        }
+        sequence = base.oldest().number();
+        applyEntries(entries);
         ledger = torn ? -1 : revision;
     }
 
@@ -259,14 +271,13 @@
                 stamps.put(c.key(), c.stamp());
             }
             if (c.key().startsWith(Keys.LOG)) {
-                WorkLog.Entry e = WorkLog.entry(c.value());
-                entries.put(e.number(), e);
+                noteEntry(c, entries);
             } else if (c.key().startsWith(Keys.BASE)) {
                 // What it says is in here already; only how far it goes matters, for the next fold.
                 if (c.value() != null) {
-                    noteBase(c.key(), ((Number) ((Map<?, ?>) c.value()).get("n")).longValue());
+                    base.put(c.key(), WorkLog.numberOf(c.value()));
                 } else {
-                    dropPage(c.key());
+                    base.remove(c.key());
                 }
             } else {
                 applyPlain(c);
@@ -275,45 +286,49 @@
                 }
             }
         }
-        for (Map.Entry<Long, WorkLog.Entry> e : entries.entrySet()) {
-            if (e.getKey() == sequence + 1) {
-                applyEntry(e.getValue());
-            } else if (e.getKey() > sequence) {
-                torn = true;
-            }
-        }
+        applyEntries(entries);
+        torn |= !entries.isEmpty() && entries.lastKey() > sequence;
         over.forEach(marks::remove);
         ledger = revision;
         return true;
     }
 
+    private void noteEntry(Change c, TreeMap<Long, WorkLog.Entry> entries) {
+        if (c.value() == null) {
+            ring.remove(c.key());
+            return;
+        }
+        WorkLog.Entry e = WorkLog.entry(c.value());
+        entries.put(e.number(), e);
+        ring.put(c.key(), e.number());
+    }
+
+    /** Applies the entries that follow the last one without a gap. */
+    private void applyEntries(TreeMap<Long, WorkLog.Entry> entries) {
+        Map.Entry<Long, WorkLog.Entry> next = entries.higherEntry(sequence);
+        while (next != null && next.getValue().before() == sequence) {
+            applyEntry(next.getValue());
+            next = entries.higherEntry(sequence);
+        }
+    }
+
     /** Bases read later than the entries may be ahead of them: what they hold is newer than such an entry says. */
     private void applyEntry(WorkLog.Entry e) {
         e.machines().forEach((id, delta) -> {
-            if (e.number() > read[WorkLog.shardOfMachine(id)]) {
+            if (isNews(e, Bucket.hashOfMachine(id))) {
                 applyMachine(id, delta.applyTo(machine(id)));
             }
         });
         e.parts().forEach((part, set) -> {
-            if (e.number() > read[WorkLog.shardOfPart(part)]) {
+            if (isNews(e, Bucket.hashOfPart(part))) {
                 applyPart(part, set);
             }
         });
         sequence = e.number();
     }
 
-    private int noteBase(String key, long number) {
-        int slash = key.lastIndexOf('/');
-        int shard = Integer.parseInt(key.substring(Keys.BASE.length(), slash));
-        bases[shard] = Math.max(bases[shard], number);
-        pages[shard] = Math.max(pages[shard], Integer.parseInt(key.substring(slash + 1)) + 1);
-        return shard;
-    }
-
-    private void dropPage(String key) {
-        int slash = key.lastIndexOf('/');
-        int shard = Integer.parseInt(key.substring(Keys.BASE.length(), slash));
-        pages[shard] = Math.min(pages[shard], Integer.parseInt(key.substring(slash + 1)));
+    private boolean isNews(WorkLog.Entry e, int hash) {
+        return e.number() > baseReadUpTo || e.number() > baseRead.regionOf(hash).number();
     }
 
     private void applyPlain(Change c) {
--- a/src/main/java/garnetscale/core/store/WorkLog.java
+++ b/src/main/java/garnetscale/core/store/WorkLog.java
@@ -1,6 +1,5 @@
 package garnetscale.core.store;
 
-import garnetscale.core.block.Blocks;
 import garnetscale.core.machine.Placement;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -23,12 +22,12 @@
  */
 public final class WorkLog {
 
-    /** Shards of the base; more make each smaller and a full round of folding longer. */
+    /** Shards of the base, each of which may be split further; see {@link Bucket}. */
     static final int SHARDS = 32;
-    /** Entries in the ring. Three rounds of folding: a fold may be put off for long before the ring is at its end. */
-    static final int RING = 96;
-    /** A shard is folded once its base is this many entries old. */
-    private static final int FOLD_AFTER = RING / 2;
+    /** Entries in the ring, in rounds of folding: a fold may be put off for long before the ring is at its end. */
+    private static final int ROUNDS_IN_RING = 3;
+    /** Entries in the ring while no shard is split. */
+    static final int RING = ROUNDS_IN_RING * SHARDS;
     /** Tasks per part of a finished set, so that a job of any size keeps each part small and one finish writes little. */
     static final int PART = 2048;
 
@@ -37,20 +36,16 @@
 
     private WorkLog() {}
 
-    /** An entry: the changes of machines, and the new parts of finished sets. */
-    record Entry(long number, Map<String, Delta> machines, Map<String, BitSet> parts) {}
+    /**
+     * An entry: the changes of machines, and the new parts of finished sets.
+     *
+     * @param before the number of the entry that it follows
+     */
+    record Entry(long number, long before, Map<String, Delta> machines, Map<String, BitSet> parts) {}
 
     /** A page of a base: machines and parts of finished sets as they are after the entry of that number. */
     record Contents(long number, Map<String, MachineRecord> machines, Map<String, BitSet> parts) {}
 
-    static int shardOfMachine(String machine) {
-        return Math.floorMod(Blocks.number(machine), SHARDS);
-    }
-
-    static int shardOfPart(String part) {
-        return Math.floorMod(part.hashCode() * 31 + part.length(), SHARDS);
-    }
-
     static String part(String job, int part) {
         return job + "/" + part;
     }
@@ -66,35 +61,19 @@
         return all.get(base, base + PART);
     }
 
-    /** The key of an entry. */
-    static String key(long number) {
-        return Keys.LOG + Math.floorMod(number, (long) RING);
-    }
-
     /** The key of a page of a shard's base. */
     static String baseKey(int shard, int page) {
         return Keys.BASE + shard + "/" + page;
     }
 
-    /** The shard to fold before the next entry, or -1: the one whose base is oldest, once it is old enough. */
-    static int due(long[] bases, long sequence) {
-        int oldest = 0;
-        for (int i = 1; i < bases.length; i++) {
-            if (bases[i] < bases[oldest]) {
-                oldest = i;
-            }
-        }
-        return sequence - bases[oldest] >= FOLD_AFTER ? oldest : -1;
+    /** Whether a region of the base that goes up to {@code number} is to be folded: halfway to the ring's end. */
+    static boolean isDue(long number, long sequence, int regions) {
+        return sequence - number >= capacity(regions) / 2;
     }
 
-    /** Whether the next entry would overwrite one that some base doesn't hold yet. */
-    static boolean full(long[] bases, long sequence) {
-        for (long base : bases) {
-            if (sequence + 1 - base > RING) {
-                return true;
-            }
-        }
-        return false;
+    /** How many entries the ring holds when the base has so many regions, of which a transaction folds one. */
+    static int capacity(int regions) {
+        return ROUNDS_IN_RING * regions;
     }
 
     /** The value of a page of a base: it says how many there are, since a listing may read them at different moments. */
@@ -109,7 +88,11 @@
     static Map<String, Object> value(Entry e) {
         Map<String, Object> machines = new LinkedHashMap<>();
         e.machines().forEach((id, d) -> machines.put(id, Records.delta(d)));
-        return value(e.number(), machines, e.parts());
+        Map<String, Object> value = value(e.number(), machines, e.parts());
+        if (e.before() != e.number() - 1) {
+            value.put("b", e.before());
+        }
+        return value;
     }
 
     private static Map<String, Object> value(long number, Map<String, Object> machines, Map<String, BitSet> sets) {
@@ -126,7 +109,9 @@
         Map<?, ?> v = (Map<?, ?>) value;
         Map<String, Delta> machines = new LinkedHashMap<>();
         ((Map<?, ?>) v.get("m")).forEach((id, d) -> machines.put((String) id, Records.delta((Map<?, ?>) d)));
-        return new Entry(((Number) v.get("n")).longValue(), machines, parts(v));
+        long number = numberOf(v);
+        long before = v.get("b") instanceof Number b ? b.longValue() : number - 1;
+        return new Entry(number, before, machines, parts(v));
     }
 
     private static Map<String, BitSet> parts(Map<?, ?> v) {
@@ -135,11 +120,21 @@
         return parts;
     }
 
+    /** The entry that a stored entry is, or that a page of the base goes up to. */
+    static long numberOf(Object value) {
+        return ((Number) ((Map<?, ?>) value).get("n")).longValue();
+    }
+
+    /** How many pages the base is stored in that a page belongs to. */
+    static int pageCountOf(Object page) {
+        return ((Number) ((Map<?, ?>) page).get("c")).intValue();
+    }
+
     static Contents contents(Object value) {
         Map<?, ?> v = (Map<?, ?>) value;
         Map<String, MachineRecord> machines = new LinkedHashMap<>();
         ((Map<?, ?>) v.get("m")).forEach((id, m) -> machines.put((String) id, Records.machine((Map<?, ?>) m)));
-        return new Contents(((Number) v.get("n")).longValue(), machines, parts(v));
+        return new Contents(numberOf(v), machines, parts(v));
     }
 
     /** Bytes that a machine's row takes at the most, counted as the protocol counts them. */
--- /dev/null
+++ b/src/main/java/garnetscale/standin/StateLimits.java
@@ -0,0 +1,56 @@
+package garnetscale.standin;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.google.common.io.ByteStreams;
+import com.google.common.io.CountingOutputStream;
+import garnetscale.core.store.Txn;
+import garnetscale.wire.StateCodec;
+import garnetscale.wire.Trees;
+import java.io.IOException;
+
+/**
+ * The state service's limits on one transaction; sizes are counted in JSON, as the protocol does.
+ *
+ * @param changes puts and deletes; there may be four times as many conditions
+ */
+public record StateLimits(int valueBytes, int changes, int transactionBytes) {
+
+    /** Whatever is asked is taken. */
+    public static final StateLimits NONE = new StateLimits(Integer.MAX_VALUE, Integer.MAX_VALUE, Integer.MAX_VALUE);
+
+    private static final int CONDITIONS = 4;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** What a transaction is refused for, or null. */
+    String violationBy(Txn txn) {
+        if (equals(NONE)) {
+            return null;
+        }
+        if (txn.ops().size() > changes) {
+            return txn.ops().size() + " changes";
+        }
+        if (txn.guards().size() > (long) CONDITIONS * changes) {
+            return txn.guards().size() + " conditions";
+        }
+        for (Txn.Op op : txn.ops()) {
+            long bytes = op.value() == null ? 0 : jsonBytes(op.value());
+            if (bytes > valueBytes) {
+                return "value of " + bytes + " bytes under " + op.key();
+            }
+        }
+        long bytes = jsonBytes(StateCodec.tree(txn));
+        return bytes > transactionBytes ? "transaction of " + bytes + " bytes" : null;
+    }
+
+    /** Bytes that a value takes in JSON. */
+    public static long jsonBytes(Object value) {
+        CountingOutputStream out = new CountingOutputStream(ByteStreams.nullOutputStream());
+        try (JsonGenerator generator = JSON.createGenerator(out)) {
+            Trees.write(generator, value);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return out.getCount();
+    }
+}
--- a/src/main/java/garnetscale/standin/StateModel.java
+++ b/src/main/java/garnetscale/standin/StateModel.java
@@ -26,9 +26,27 @@
     private final TreeMap<String, Entry> keys = new TreeMap<>();
     private final List<Change> log = new ArrayList<>();
     private final Map<Long, Lease> leases = new TreeMap<>();
+    /** Transactions that were refused for their size, and why. */
+    private final List<String> oversized = new ArrayList<>();
+
+    private final StateLimits limits;
     private long ledger;
     private long lastLease;
 
+    /** A service without limits. */
+    public StateModel() {
+        this(StateLimits.NONE);
+    }
+
+    public StateModel(StateLimits limits) {
+        this.limits = limits;
+    }
+
+    /** What was wrong with the transactions that were refused for their size. */
+    public List<String> oversized() {
+        return oversized;
+    }
+
     public long ledger() {
         return ledger;
     }
@@ -88,6 +106,11 @@
 
     /** 200, 409 or 400 as the protocol says. */
     public int commit(Txn txn) {
+        String violation = limits.violationBy(txn);
+        if (violation != null) {
+            oversized.add(violation);
+            return 400;
+        }
         for (Map.Entry<String, Long> g : txn.guards().entrySet()) {
             Entry e = keys.get(g.getKey());
             if ((e == null ? 0 : e.stamp()) != g.getValue()) {
--- a/src/main/java/garnetscale/wire/Cbor.java
+++ b/src/main/java/garnetscale/wire/Cbor.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -39,41 +38,10 @@
     public static byte[] write(Object value) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(256);
         try (JsonGenerator g = FACTORY.createGenerator(out)) {
-            write(g, value);
+            Trees.write(g, value);
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
         return out.toByteArray();
     }
-
-    private static void write(JsonGenerator g, Object value) throws IOException {
-        if (value instanceof Map<?, ?> map) {
-            g.writeStartObject(map, map.size());
-            for (Map.Entry<?, ?> e : map.entrySet()) {
-                g.writeFieldName((String) e.getKey());
-                write(g, e.getValue());
-            }
-            g.writeEndObject();
-        } else if (value instanceof List<?> list) {
-            g.writeStartArray(list, list.size());
-            for (Object o : list) {
-                write(g, o);
-            }
-            g.writeEndArray();
-        } else if (value instanceof String s) {
-            g.writeString(s);
-        } else if (value instanceof Integer i) {
-            g.writeNumber(i);
-        } else if (value instanceof Long l) {
-            g.writeNumber(l);
-        } else if (value instanceof Double d) {
-            g.writeNumber(d);
-        } else if (value instanceof Boolean b) {
-            g.writeBoolean(b);
-        } else if (value == null) {
-            g.writeNull();
-        } else {
-            throw new IllegalArgumentException("no CBOR form for " + value.getClass());
-        }
-    }
 }
--- a/src/main/java/garnetscale/wire/StateCodec.java
+++ b/src/main/java/garnetscale/wire/StateCodec.java
@@ -19,6 +19,11 @@
     private StateCodec() {}
 
     public static byte[] txn(Txn txn) {
+        return Cbor.write(tree(txn));
+    }
+
+    /** A transaction as the protocol has it, before it is encoded. */
+    public static Map<String, Object> tree(Txn txn) {
         List<Object> guards = new ArrayList<>();
         txn.guards().forEach((key, stamp) -> guards.add(Map.of("key", key, "stamp", stamp)));
         List<Object> then = new ArrayList<>();
@@ -35,7 +40,7 @@
             }
             then.add(m);
         }
-        return Cbor.write(then.isEmpty() ? Map.of("guards", guards) : Map.of("guards", guards, "then", then));
+        return then.isEmpty() ? Map.of("guards", guards) : Map.of("guards", guards, "then", then);
     }
 
     public static long ledger(byte[] body) throws IOException {
--- a/src/main/java/garnetscale/wire/Trees.java
+++ b/src/main/java/garnetscale/wire/Trees.java
@@ -1,5 +1,6 @@
 package garnetscale.wire;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
@@ -58,4 +59,36 @@
             default -> throw new IOException("not in the protocol: " + t);
         };
     }
+
+    /** Writes a value of maps, lists, texts and numbers by any of Jackson's generators. */
+    public static void write(JsonGenerator g, Object value) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            g.writeStartObject(map, map.size());
+            for (Map.Entry<?, ?> e : map.entrySet()) {
+                g.writeFieldName((String) e.getKey());
+                write(g, e.getValue());
+            }
+            g.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            g.writeStartArray(list, list.size());
+            for (Object o : list) {
+                write(g, o);
+            }
+            g.writeEndArray();
+        } else if (value instanceof String s) {
+            g.writeString(s);
+        } else if (value instanceof Integer i) {
+            g.writeNumber(i);
+        } else if (value instanceof Long l) {
+            g.writeNumber(l);
+        } else if (value instanceof Double d) {
+            g.writeNumber(d);
+        } else if (value instanceof Boolean b) {
+            g.writeBoolean(b);
+        } else if (value == null) {
+            g.writeNull();
+        } else {
+            throw new IllegalArgumentException("no form in the protocol for " + value.getClass());
+        }
+    }
 }
--- a/src/test/java/garnetscale/app/StateLinkRelistTest.java
+++ b/src/test/java/garnetscale/app/StateLinkRelistTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetscale.core.Params;
 import garnetscale.core.TestParams;
@@ -103,6 +104,16 @@
         return link;
     }
 
+    /** The changes since a controller last looked may be more than it can hold: asked for again they would only be more. */
+    @Test
+    void anAnswerThatIsTooLongIsReplacedByAListing() {
+        started();
+        io.take("/follow").done().accept(HttpResult.TOO_LONG);
+        list(LISTED_ANEW);
+        assertEquals(LISTED_ANEW, replica.ledger());
+        assertTrue(io.isAsked("/follow"), "the replica is followed again");
+    }
+
     @Test
     void anOlderWatchDoesNotConfirmAReplicaThatIsListedAnew() {
         StateLink link = started();
--- a/src/test/java/garnetscale/core/lead/ElectionTest.java
+++ b/src/test/java/garnetscale/core/lead/ElectionTest.java
@@ -9,6 +9,7 @@
 import garnetscale.core.block.LeaderInfo;
 import garnetscale.core.block.NodeInfo;
 import garnetscale.core.store.Keys;
+import garnetscale.core.store.Layouts;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
@@ -28,7 +29,7 @@
         StateModel state = new StateModel();
         Txn txn = new Txn().put(Keys.LEADER, Records.leader(new LeaderInfo("n0", 1, 1)));
         for (int i = 0; i < 3; i++) {
-            txn.put(Keys.node("n" + i), Records.node(new NodeInfo("n" + i, i + 1, "a")));
+            txn.put(Keys.node("n" + i), Records.node(new NodeInfo("n" + i, i + 1, "a", Layouts.LATEST)));
         }
         state.commit(txn);
         StateReplica replica = new StateReplica();
--- a/src/test/java/garnetscale/core/sim/SimulatedCluster.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedCluster.java
@@ -23,6 +23,7 @@
 import garnetscale.core.machine.WorkerCommand;
 import garnetscale.core.store.Change;
 import garnetscale.core.store.Keys;
+import garnetscale.core.store.Layouts;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
@@ -762,7 +763,7 @@
                                 .put(
                                         Keys.node(name),
                                         Records.node(new NodeInfo(
-                                                name, lease, shape.params(name).zoneOfNode(name))),
+                                                name, lease, shape.params(name).zoneOfNode(name), Layouts.LATEST)),
                                         lease),
                         (r, l) -> {});
             } else if (lease >= 0) {
--- /dev/null
+++ b/src/test/java/garnetscale/core/store/SplitBaseTest.java
@@ -0,0 +1,235 @@
+package garnetscale.core.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetscale.core.job.JobRecord;
+import garnetscale.core.job.JobState;
+import garnetscale.core.job.TaskId;
+import garnetscale.core.job.TestJob;
+import garnetscale.core.machine.Placement;
+import garnetscale.standin.StateLimits;
+import garnetscale.standin.StateModel;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** A base that has outgrown its shards is split within the service's limits, and read alike by whoever comes at any moment. */
+class SplitBaseTest {
+
+    private static final int VALUE_BYTES = 16 * 1024;
+    private static final int OPS = 24;
+    private static final int TXN_BYTES = 64 * 1024;
+    /** Machines in all, and placements on each: a shard takes 120 KB, twice what a transaction may hold. */
+    private static final int MACHINES = 4000;
+
+    private static final int PLACEMENTS = 14;
+    private static final int MACHINES_IN_ENTRY = 12;
+    private static final int PAGE = 40;
+
+    private final StateModel state = new StateModel(new StateLimits(VALUE_BYTES, OPS, TXN_BYTES));
+    private final Random random = new Random(11);
+    private final StateReplica leader = new StateReplica();
+    private boolean maySplit = true;
+    private long attempts;
+
+    SplitBaseTest() {
+        state.commit(new Txn()
+                .put(
+                        Keys.job("wk-1"),
+                        Records.job(new JobRecord(
+                                TestJob.named("wk-1").tasks(100_000).build(), JobState.LIVE, 0))));
+        leader.reset(state.list(Keys.MIRRORED, null, 1000), state.ledger());
+    }
+
+    /** Writes an entry with the records of some machines, and whatever is due to be folded. */
+    private void write(List<String> machines) {
+        LogWriter log = new LogWriter(leader, new LogWriter.Limits(VALUE_BYTES, OPS, maySplit));
+        Map<String, MachineRecord> records = new LinkedHashMap<>();
+        for (String id : machines) {
+            List<Placement> placed = new ArrayList<>();
+            for (int n = 0; n < PLACEMENTS; n++) {
+                attempts++;
+                placed.add(new Placement(
+                        new TaskId("wk-1", (int) (attempts % 100_000)), 1L << 40 | attempts, 1, Placement.Stop.KEEP));
+            }
+            records.put(id, new MachineRecord("zone", placed, Map.of("img-07", 3.5, "img-11", 0.25)));
+        }
+        int task = random.nextInt(100_000);
+        BitSet finished = leader.job("wk-1").finishedSet();
+        finished.set(task);
+        String part = WorkLog.partOf("wk-1", task);
+        Txn txn = new Txn();
+        log.write(txn, records, Map.of(part, WorkLog.bitsOf(finished, part)));
+        assertEquals(200, state.commit(txn), () -> state.oversized().toString());
+        follow(leader);
+    }
+
+    private void writeAny() {
+        List<String> machines = new ArrayList<>();
+        for (int i = random.nextInt(MACHINES_IN_ENTRY); i >= 0; i--) {
+            machines.add(machine(random.nextInt(MACHINES)));
+        }
+        write(machines.stream().distinct().toList());
+    }
+
+    private static String machine(int i) {
+        return "m-" + (100_000 + i);
+    }
+
+    /** Fills the fleet from nothing, a few machines an entry. */
+    private void fill() {
+        for (int i = 0; i < MACHINES; i += MACHINES_IN_ENTRY) {
+            List<String> machines = new ArrayList<>();
+            for (int k = i; k < Math.min(MACHINES, i + MACHINES_IN_ENTRY); k++) {
+                machines.add(machine(k));
+            }
+            write(machines);
+        }
+    }
+
+    private void follow(StateReplica replica) {
+        replica.advance(state.changes(Keys.MIRRORED, replica.ledger()), state.ledger());
+    }
+
+    /** Lists in pages, with the store going on between them; null when what was read doesn't hold together. */
+    private StateReplica list() {
+        List<Change> all = new ArrayList<>();
+        long first = state.ledger();
+        String since = null;
+        List<Change> page;
+        do {
+            page = state.list(Keys.MIRRORED, since, PAGE);
+            all.addAll(page);
+            since = page.isEmpty() ? null : page.get(page.size() - 1).key();
+            for (int i = random.nextInt(3); i > 0; i--) {
+                writeAny();
+            }
+        } while (page.size() == PAGE);
+        StateReplica replica = new StateReplica();
+        replica.reset(all, first);
+        if (!replica.loaded()) {
+            return null;
+        }
+        follow(replica);
+        return replica;
+    }
+
+    private static Map<String, Object> seen(StateReplica replica) {
+        Map<String, Object> all = new TreeMap<>();
+        replica.placedMachines().forEach(id -> all.put(id, replica.placements(id)));
+        all.put("finished", replica.job("wk-1").finishedSet());
+        return all;
+    }
+
+    @Test
+    void aFleetOfFourThousandIsStoredWithinTheLimitsAndReadAlike() {
+        StateReplica follower = new StateReplica();
+        follower.reset(state.list(Keys.MIRRORED, null, 1000), state.ledger());
+        fill();
+        int listings = 0;
+        for (int round = 0; round < 12; round++) {
+            for (int i = 0; i < 60; i++) {
+                writeAny();
+            }
+            StateReplica lister = list();
+            follow(follower);
+            assertFalse(follower.torn(), "round " + round);
+            assertEquals(seen(leader), seen(follower), "follower in round " + round);
+            if (lister != null) {
+                listings++;
+                assertFalse(lister.torn(), "round " + round);
+                assertEquals(seen(leader), seen(lister), "lister in round " + round);
+            }
+        }
+        assertTrue(listings >= 8, "only " + listings + " of 12 listings held together");
+        assertTrue(
+                leader.base().regionCount() > 4 * WorkLog.SHARDS, leader.base().regionCount() + " regions");
+        assertEquals(List.of(), state.oversized());
+    }
+
+    /** The ring stays in proportion to the base, and nothing is overwritten before it is folded. */
+    @Test
+    void theRingGrowsWithTheBaseAndStaysBounded() {
+        fill();
+        for (int i = 0; i < 3000; i++) {
+            writeAny();
+            assertFalse(leader.logFull(), "after " + i);
+        }
+        int entries = state.list(Keys.LOG, null, 100_000).size();
+        assertTrue(entries > WorkLog.RING, "only " + entries + " entries");
+        assertTrue(entries <= WorkLog.capacity(leader.base().regionCount()), entries + " entries");
+    }
+
+    /** Without the layout that allows it nothing is split: then the service refuses what has outgrown a transaction. */
+    @Test
+    void withoutSplittingTheLimitsAreExceeded() {
+        maySplit = false;
+        try {
+            fill();
+        } catch (AssertionError refused) {
+            assertFalse(state.oversized().isEmpty());
+            assertEquals(Layouts.FIRST, leader.layout());
+            return;
+        }
+        throw new AssertionError("4,000 machines fit into the first layout");
+    }
+
+    /** What was stored in several pages before is taken over, whichever of its parts is written first. */
+    @Test
+    void shardsOfSeveralPagesAreTakenOver() {
+        maySplit = false;
+        List<String> shard = new ArrayList<>();
+        for (int i = 0; i < 28; i++) {
+            shard.add(machine(i * WorkLog.SHARDS));
+        }
+        for (int i = 0; i < 2 * WorkLog.RING; i++) {
+            write(List.of(shard.get(i % shard.size())));
+        }
+        Bucket root = Bucket.root(Bucket.shardOf(Bucket.hashOfMachine(shard.get(0))));
+        assertTrue(leader.base().pages(root) > 1, "one page only");
+        maySplit = true;
+        for (int i = 0; i < 2 * WorkLog.RING; i++) {
+            write(List.of(shard.get(i % shard.size())));
+            StateReplica fresh = new StateReplica();
+            fresh.reset(state.list(Keys.MIRRORED, null, 100_000), state.ledger());
+            assertTrue(fresh.loaded(), "entry " + i);
+            assertEquals(seen(leader), seen(fresh), "entry " + i);
+        }
+        assertEquals(0, leader.base().pages(root));
+        assertEquals(Layouts.SPLIT_BASE, leader.layout());
+    }
+
+    /**
+     * A controller of layout 1 follows entries by consecutive numbers and counts the pages of a base. The first split is
+     * made to fail both, so that such a controller reads the store anew for ever and never decides anything.
+     */
+    @Test
+    void theFirstLayoutFindsASplitStoreTorn() {
+        for (int i = 0; leader.layout() == Layouts.FIRST; i += MACHINES_IN_ENTRY) {
+            long before = leader.sequence();
+            List<String> machines = new ArrayList<>();
+            for (int k = i; k < i + MACHINES_IN_ENTRY; k++) {
+                machines.add(machine(k % MACHINES));
+            }
+            write(machines);
+            assertEquals(leader.layout() == Layouts.FIRST ? 1 : 2, leader.sequence() - before);
+        }
+        Map<String, Integer> found = new HashMap<>();
+        Map<String, Integer> expected = new HashMap<>();
+        for (Change page : state.list(Keys.BASE, null, 100_000)) {
+            int slash = page.key().lastIndexOf('/');
+            String shard = page.key().substring(0, slash);
+            found.merge(shard, Integer.parseInt(page.key().substring(slash + 1)) + 1, Math::max);
+            expected.put(shard, WorkLog.pageCountOf(page.value()));
+        }
+        assertFalse(found.equals(expected), "layout 1 would take it for whole");
+    }
+}
--- a/src/test/java/garnetscale/core/trace/TraceRunner.java
+++ b/src/test/java/garnetscale/core/trace/TraceRunner.java
@@ -20,6 +20,7 @@
 import garnetscale.core.machine.ReportedTask;
 import garnetscale.core.machine.WorkerCommand;
 import garnetscale.core.store.Keys;
+import garnetscale.core.store.Layouts;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
@@ -204,7 +205,8 @@
         Node n = new Node(name);
         n.lease = state.grant(now, 1_000_000_000);
         String zone = n.params.zoneOfNode(name);
-        state.commit(new Txn().put(Keys.node(name), Records.node(new NodeInfo(name, n.lease, zone)), n.lease));
+        state.commit(new Txn()
+                .put(Keys.node(name), Records.node(new NodeInfo(name, n.lease, zone, Layouts.LATEST)), n.lease));
         n.holder.incarnate(n.lease);
         n.leader.incarnate(n.lease);
         nodes.put(name, n);
