--- /dev/null
+++ b/src/test/java/garnetscale/core/sim/FourThousandMachinesTest.java
@@ -0,0 +1,57 @@
+package garnetscale.core.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetscale.core.store.Layouts;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Five controllers and 4,000 machines in simulated time: a start from nothing, steady work, the leader's end, a cancellation of
+ * several thousand tasks, one controller with all machines. The state service refuses what is larger or more frequent than it
+ * allows, and nothing may be refused.
+ */
+class FourThousandMachinesTest {
+
+    private static final int MACHINES = SimulatedCluster.Shape.FOUR_THOUSAND.workers();
+    private static final long END = 150_000;
+
+    private final SimulatedCluster cluster =
+            new SimulatedCluster(41, SimulatedCluster.Fault.NONE, SimulatedCluster.Shape.FOUR_THOUSAND);
+    private final List<String> jobs = new ArrayList<>();
+
+    private void submit(long at, String id, int tasks, double seconds) {
+        jobs.add(id);
+        cluster.at(at, () -> cluster.submit(id, tasks % 2 == 0 ? "red" : "blue", tasks, 1, seconds));
+    }
+
+    @Test
+    void fourThousandMachinesKeepTheRulesWithinTheLimits() {
+        cluster.limitWrites();
+        for (int i = 0; i < 12; i++) {
+            submit(5000 + 2500 * i, "wk-" + i, 1000 + i, 20 + i);
+        }
+        submit(8000, "wk-large", 2 * MACHINES, 40);
+        cluster.at(30_000, () -> cluster.crash(cluster.leader(), 5000));
+        cluster.at(45_000, () -> cluster.cancel("wk-large"));
+        cluster.at(60_000, () -> cluster.nodes.subList(1, 5).forEach(node -> node.crash(15_000)));
+        long over = 0;
+        for (long t = 5000; t <= END && over == 0; t += 5000) {
+            cluster.run(t);
+            long now = t;
+            List<String> submitted =
+                    jobs.stream().filter(cluster.rules.jobs::containsKey).toList();
+            if (submitted.size() == jobs.size() && submitted.stream().allMatch(cluster::poll)) {
+                over = now;
+            }
+        }
+        assertEquals(List.of(), cluster.rules.broken);
+        assertTrue(over > 0, "not all jobs are over at the end");
+        assertEquals(List.of(), cluster.state.oversized());
+        assertEquals(0, cluster.refusedWrites);
+        assertTrue(cluster.rules.starts > 3 * MACHINES, "only " + cluster.rules.starts + " starts");
+        assertEquals(Layouts.SPLIT_BASE, cluster.stored().layout());
+    }
+}
--- a/src/test/java/garnetscale/core/sim/SimulatedCluster.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedCluster.java
@@ -1,5 +1,6 @@
 package garnetscale.core.sim;
 
+import garnetscale.core.Features;
 import garnetscale.core.Params;
 import garnetscale.core.TestParams;
 import garnetscale.core.bid.Estimator;
@@ -28,6 +29,8 @@
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
 import garnetscale.core.store.TxnResult;
+import garnetscale.net.Budget;
+import garnetscale.standin.StateLimits;
 import garnetscale.standin.StateModel;
 import garnetscale.standin.WorkerModel;
 import garnetscale.timeline.Timeline;
@@ -53,6 +56,12 @@
     static final long CANCEL = 35_000;
     /** Small, so that a listing takes many requests. */
     private static final int PAGE = 15;
+    /** The state service's answer to a change above its rate. */
+    private static final int TOO_MANY = 429;
+    /** The part of the rate that a leader uses. */
+    private static final double LEADER_SHARE = 0.675;
+    /** What the state service takes in one transaction. */
+    private static final StateLimits LIMITS = new StateLimits(16 * 1024, 24, 64 * 1024);
 
     /** A deliberate mistake, to show that the rules are watched. */
     enum Fault {
@@ -66,6 +75,7 @@
         static final Shape SMALL = new Shape(3, List.of("a", "b"), 6);
         static final Shape THREE_ZONES = new Shape(3, List.of("a", "b", "c"), 300);
         static final Shape FIVE_NODES = new Shape(5, List.of("a", "b"), 300);
+        static final Shape FOUR_THOUSAND = new Shape(5, List.of("a", "b"), 4000);
 
         String zone(int i) {
             return zones.get(i % zones.size());
@@ -85,6 +95,7 @@
                             new Params.Team("blue", 8, blue(), 0, Double.POSITIVE_INFINITY))
                     .objectives(new Params.Objective("wait", "c", 2, 0.9, 0))
                     .workers(REPORT, LEASE, CANCEL)
+                    .features(new Features(true, Features.NEVER))
                     .build();
         }
 
@@ -98,7 +109,7 @@
     }
 
     final Rules rules;
-    final StateModel state = new StateModel();
+    final StateModel state = new StateModel(LIMITS);
     final List<Node> nodes = new ArrayList<>();
     final List<Worker> workers = new ArrayList<>();
     /** Jobs that were submitted with a mistake: their tasks fail wherever they run. */
@@ -124,6 +135,11 @@
     BiConsumer<String, TaskId> onStartSent = (machine, task) -> {};
     /** Share of cancellations of which the peers aren't told: their links are down just then. */
     double wordLoss;
+    /** The changes a second that the state service takes, and what was refused beyond it; unbounded unless set. */
+    private Budget writes = new Budget(Double.MAX_VALUE, Double.MAX_VALUE, 0);
+
+    private Params paced;
+    int refusedWrites;
     /** Until then reports are kept, and so long after a new leader's beginning their copies reach every controller. */
     long keepUntil;
 
@@ -159,6 +175,20 @@
         every(250, this::sweep);
     }
 
+    /** From now on the state service refuses more changes a second than the settings say, and leaders pace themselves. */
+    void limitWrites() {
+        paced = shape.params("n0");
+        writes = new Budget(paced.stateWritesPerS(), paced.stateWritesPerS(), now);
+    }
+
+    private int commit(Txn txn) {
+        if (!writes.take(now, txn.ops().size())) {
+            refusedWrites++;
+            return TOO_MANY;
+        }
+        return state.commit(txn);
+    }
+
     /** A machine is up from now on. */
     Worker bring(int i) {
         String id = String.format(Locale.ROOT, "m-%06d", i);
@@ -544,6 +574,8 @@
         private int life;
 
         private boolean up;
+        /** A leader's part of the changes a second. */
+        private Budget pace;
 
         Node(String name) {
             this.name = name;
@@ -559,6 +591,8 @@
             holder = new BlockHolder(p, replica, blocks, new Estimator(REPORT));
             leader = new Leader(p, replica, blocks, s -> {});
             pipeline = new Pipeline(replica, leader);
+            double leaderWrites = LEADER_SHARE * p.stateWritesPerS();
+            pace = new Budget(leaderWrites, leaderWrites, now);
             lease = -1;
             leadTerm = -1;
             listing = false;
@@ -790,11 +824,13 @@
             }
             ask(
                     () -> {
-                        int status = state.commit(txn);
-                        return new Object[] {
-                            status == 200 ? TxnResult.OK : status == 409 ? TxnResult.CONFLICT : TxnResult.NO_LEASE,
-                            state.ledger()
-                        };
+                        int status = SimulatedCluster.this.commit(txn);
+                        TxnResult result = status == 200
+                                ? TxnResult.OK
+                                : status == 409
+                                        ? TxnResult.CONFLICT
+                                        : status == TOO_MANY ? TxnResult.REFUSED : TxnResult.NO_LEASE;
+                        return new Object[] {result, state.ledger()};
                     },
                     new Object[] {TxnResult.REFUSED, -1L},
                     r -> done.accept((TxnResult) r[0], (Long) r[1]),
@@ -827,8 +863,12 @@
             if (fault == Fault.FREE_UNSEEN && random.nextInt(50) == 0) {
                 lie(List.copyOf(leader.machines()));
             }
+            if (paced != null && pace.waitMs(now, 1) > 0) {
+                return;
+            }
             Txn txn = pipeline.next(() -> leader.plan(now));
             if (txn != null) {
+                pace.force(now, txn.ops().size());
                 commit(txn, (result, ledger) -> {
                     pipeline.ended(result, ledger);
                     pipeline.ready();
