--- a/src/main/java/garnetscale/app/FeaturesFile.java
+++ b/src/main/java/garnetscale/app/FeaturesFile.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import garnetscale.core.Features;
+import garnetscale.core.store.Layouts;
+import garnetscale.core.upgrade.VersionRange;
 import garnetscale.wire.Trees;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -21,6 +23,10 @@
 final class FeaturesFile {
 
     private static final String ENABLED = "enabled";
+    private static final double LEAST_SETTLE = 0.5;
+    private static final double MOST_SETTLE = 100;
+    private static final double LEAST_FROM = 0.5;
+    private static final double FROM = 0.95;
 
     private final Map<?, ?> root;
     private final Set<Object> known = new HashSet<>();
@@ -42,12 +48,14 @@
     }
 
     private Features features() throws Settings.Faults {
-        Table growingLog = table("growing_log");
-        boolean growing = growingLog.isEnabled();
-        growingLog.end();
+        Table upgrade = table("staged_upgrade");
+        boolean automatic = upgrade.isEnabled();
+        double settle = upgrade.number("settle", LEAST_SETTLE, MOST_SETTLE, Features.SETTLE);
+        int latest = upgrade.whole("latest", Layouts.SUPPORTED.oldest(), Layouts.SUPPORTED.latest());
+        upgrade.end();
         Table sharedSockets = table("shared_sockets");
         boolean shared = sharedSockets.isEnabled();
-        double from = sharedSockets.share("from", 0.5, 1, 0.95);
+        double from = sharedSockets.number("from", LEAST_FROM, 1, FROM);
         sharedSockets.end();
         for (Object name : root.keySet()) {
             if (!known.contains(name)) {
@@ -57,7 +65,8 @@
         if (!faults.isEmpty()) {
             throw new Settings.Faults(faults);
         }
-        return new Features(growing, shared ? from : Features.NEVER);
+        VersionRange layouts = new VersionRange(Layouts.SUPPORTED.oldest(), latest);
+        return new Features(automatic, settle, layouts, shared ? from : Features.NEVER);
     }
 
     private List<String> sortedNames() {
@@ -99,7 +108,16 @@
             return false;
         }
 
-        double share(String key, double least, double most, double otherwise) {
+        /** A version, the latest one where nothing is said. */
+        int whole(String key, int least, int most) {
+            double value = number(key, least, most, most);
+            if (value != Math.rint(value)) {
+                faults.add(name + "." + key + " must be a whole number from " + least + " to " + most);
+            }
+            return (int) value;
+        }
+
+        double number(String key, double least, double most, double otherwise) {
             asked.add(key);
             Object value = values.get(key);
             if (value == null) {
--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -83,7 +83,7 @@
     private final long turnMs;
     private final Settings settings;
     private final EventLoopGroup loop;
-    private final StateReplica replica = new StateReplica();
+    private final StateReplica replica;
     private final BlockHolder holder;
     private final Leader leader;
     private final Pipeline pipeline;
@@ -115,6 +115,7 @@
         this.params = settings.params();
         this.turnMs = Math.max(LEAST_TURN_MS, params.reportMs() / TURNS_IN_REPORT);
         this.loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
+        this.replica = new StateReplica(params.features().layouts());
         Blocks blocks = new Blocks(params);
         this.holder = new BlockHolder(params, replica, blocks, new Estimator(params.reportMs()));
         this.leader = new Leader(params, replica, blocks, LOG::info);
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -4,7 +4,6 @@
 import garnetscale.core.block.NodeInfo;
 import garnetscale.core.store.Change;
 import garnetscale.core.store.Keys;
-import garnetscale.core.store.Layouts;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
@@ -55,6 +54,9 @@
     /** How often the replica is confirmed when nobody asks. */
     static final long CONFIRM_MS = 500;
 
+    /** How often a store that can't be read is read again. */
+    private static final long READ_AGAIN_MS = 2000;
+
     private static final int PAGE = 500;
     /** Parts of the limits that this node uses for itself: all nodes together stay below one. */
     private static final double WATCHES = 0.45;
@@ -173,7 +175,11 @@
         registering = true;
         long mine = lease;
         String key = Keys.node(params.self());
-        NodeInfo info = new NodeInfo(params.self(), mine, params.zoneOfNode(params.self()), Layouts.LATEST);
+        NodeInfo info = new NodeInfo(
+                params.self(),
+                mine,
+                params.zoneOfNode(params.self()),
+                params.features().layouts());
         send(new Txn().guard(key, replica.stamp(key)).put(key, Records.node(info), mine), (result, ledger) -> {
             registering = false;
             if (result == TxnResult.NO_LEASE && lease == mine) {
@@ -198,7 +204,8 @@
     }
 
     private void renew() {
-        if (lease < 0) {
+        // A controller that can't read what is stored decides nothing; its blocks go to others once its lease ends.
+        if (lease < 0 || replica.unreadable() != null) {
             return;
         }
         long mine = lease;
@@ -242,6 +249,10 @@
                 }
                 worked();
                 replica.reset(sofar, first);
+                if (replica.unreadable() != null) {
+                    standAside();
+                    return;
+                }
                 if (replica.torn()) {
                     LOG.info("the listing is of several moments, it is read again");
                     after(300, this::list);
@@ -261,6 +272,15 @@
         });
     }
 
+    /** What is stored can't be read: nothing is decided, and it is read again, since operators may go back. */
+    private void standAside() {
+        if (!replica.unreadable().equals(reported)) {
+            reported = replica.unreadable();
+            LOG.error("can't read {}; this controller stands aside", reported);
+        }
+        after(READ_AGAIN_MS, this::list);
+    }
+
     private void advanced() {
         boolean in = lease >= 0 && registered();
         if (in && listenerLease != lease) {
@@ -274,6 +294,8 @@
     }
 
     private long listenerLease = -1;
+    /** The record that was last said to be unreadable. */
+    private String reported;
 
     private void confirm(long sentAt) {
         confirmedAt = Math.max(confirmedAt, sentAt);
@@ -324,6 +346,10 @@
                 boolean news = !listing
                         && replica.advance(b.changes(), b.ledger())
                         && !b.changes().isEmpty();
+                if (!listing && replica.unreadable() != null) {
+                    listing = true;
+                    standAside();
+                }
                 if (!listing && replica.torn()) {
                     LOG.info("the watch has lost entries, the replica is read anew");
                     list();
@@ -452,8 +478,16 @@
         send(txn, done);
     }
 
-    /** A transaction that can't wait, such as an election. */
+    /**
+     * A transaction that can't wait, such as an election. Like every change it fails where another version of what is stored
+     * has become active than the replica shows, and isn't sent at all by a controller that can't read what is stored.
+     */
     void send(Txn txn, BiConsumer<TxnResult, Long> done) {
+        if (!replica.loaded()) {
+            done.accept(TxnResult.REFUSED, -1L);
+            return;
+        }
+        replica.guardVersion(txn);
         io.call(HttpMethod.POST, "/multi", StateCodec.txn(txn), TIMEOUT_MS, r -> {
             try {
                 if (r.is(200)) {
--- a/src/main/java/garnetscale/core/Params.java
+++ b/src/main/java/garnetscale/core/Params.java
@@ -71,6 +71,11 @@
         return Math.max(1500, leaseMs / 8);
     }
 
+    /** How long every live controller must have been there before a version is activated: a ratio of a worker's lease. */
+    public long settleMs() {
+        return Math.round(features.settle() * leaseMs);
+    }
+
     /** How long the leader waits for better bids: a tenth of the tightest waiting objective, two seconds at most. */
     public long windowMs() {
         double tightest = 20.0;
--- a/src/main/java/garnetscale/core/block/NodeInfo.java
+++ b/src/main/java/garnetscale/core/block/NodeInfo.java
@@ -1,8 +1,10 @@
 package garnetscale.core.block;
 
+import garnetscale.core.upgrade.VersionRange;
+
 /**
  * A live controller process; its key in the state service lives as long as its state lease.
  *
- * @param layout the latest version of the stored work log that it knows
+ * @param layouts the versions of what is stored that it reads and writes
  */
-public record NodeInfo(String name, long incarnation, String zone, int layout) {}
+public record NodeInfo(String name, long incarnation, String zone, VersionRange layouts) {}
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -30,6 +30,10 @@
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
+import garnetscale.core.upgrade.ClusterVersion;
+import garnetscale.core.upgrade.UpgradeCoordinator;
+import garnetscale.core.upgrade.UpgradeDecision;
+import garnetscale.core.upgrade.UpgradeStep;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -105,6 +109,11 @@
     private LeaderInfo acting;
     private long actingSince;
     private final AttemptNumbers attempts = new AttemptNumbers();
+    private final UpgradeCoordinator upgrades;
+    private long upgradeCheckedAt = Long.MIN_VALUE / 2;
+    /** The step that an operator asked for and that can be carried out. */
+    private UpgradeStep requested;
+
     private int blockSequence;
     private long wallOffset;
 
@@ -118,6 +127,8 @@
         this.reserve = new Reserve(params);
         this.capacities = new FreeCapacityCache(replica);
         this.auction = new Auction(replica, params.windowMs());
+        this.upgrades =
+                new UpgradeCoordinator(replica, params.features().layouts(), params.settleMs(), params.valueBytes());
     }
 
     public void incarnate(long lease) {
@@ -152,6 +163,8 @@
             acting = replica.leader();
             actingSince = now;
             attempts.begin(term);
+            upgrades.clear();
+            requested = null;
             blockSequence = 0;
             machines.clear();
             exits.clear();
@@ -338,11 +351,15 @@
         if (!leads(now)) {
             return null;
         }
+        Txn upgrade = upgradeDue(now);
+        if (upgrade != null) {
+            return upgrade;
+        }
         Txn leases = leaseBlocks(now);
         if (leases != null) {
             return leases;
         }
-        LogWriter.Limits limits = new LogWriter.Limits(params.valueBytes(), params.txnOps(), maySplitBase());
+        LogWriter.Limits limits = logLimits();
         Draft draft = new Draft(replica, QuotaBook.of(params, replica), limits);
         settle(now, draft);
         int perMachine = Math.max(8, params.valueBytes() / 64);
@@ -367,10 +384,51 @@
         return draft.isEmpty() ? null : draft.toTxn();
     }
 
-    /** Whether the base may be stored in a way that only controllers of layout 2 can read. */
-    private boolean maySplitBase() {
-        return params.features().growingLog()
-                && replica.nodes().stream().allMatch(n -> n.layout() >= Layouts.SPLIT_BASE);
+    /** What the active version allows a transaction to hold. */
+    private LogWriter.Limits logLimits() {
+        ClusterVersion version = replica.version();
+        return new LogWriter.Limits(
+                params.valueBytes(),
+                params.txnOps(),
+                version.active(),
+                version.isFinal() && version.active() > Layouts.FIRST);
+    }
+
+    /**
+     * What an operator asks for. Where it can be carried out, the next transaction does so; that may fail, and asked for again
+     * the same step is carried out or found done.
+     */
+    public UpgradeDecision upgrade(long now, UpgradeStep step) {
+        if (!leads(now)) {
+            return new UpgradeDecision.Refused("this controller isn't the leader");
+        }
+        UpgradeDecision decision = upgrades.decide(now, step);
+        requested = decision instanceof UpgradeDecision.Commit ? step : null;
+        return decision;
+    }
+
+    /** The change of the cluster's version that is due, or null. */
+    private Txn upgradeDue(long now) {
+        upgrades.observe(now);
+        if (requested != null) {
+            UpgradeStep step = requested;
+            requested = null;
+            if (upgrades.decide(now, step) instanceof UpgradeDecision.Commit commit) {
+                log.accept("an operator's " + step + ": version "
+                        + commit.next().active() + ", floor " + commit.next().floor());
+                return commit.txn();
+            }
+        }
+        if (!params.features().activatesWhenNeeded() || now - upgradeCheckedAt < params.leaseMs()) {
+            return null;
+        }
+        upgradeCheckedAt = now;
+        Txn activation = upgrades.automatic(now);
+        if (activation != null) {
+            log.accept("activates version " + (replica.version().active() + 1) + ": the present one is about to be too"
+                    + " small for what is stored");
+        }
+        return activation;
     }
 
     /** Finds the machines that are slow, and the jobs with tasks on them. */
@@ -799,6 +857,6 @@
 
     /** Whether a controller can read what is stored; one that can't decides nothing, and so can't hold a block. */
     private boolean canRead(NodeInfo n) {
-        return n.layout() >= replica.layout();
+        return n.layouts().contains(Math.max(replica.layout(), replica.version().active()));
     }
 }
--- a/src/main/java/garnetscale/core/store/BaseIndex.java
+++ b/src/main/java/garnetscale/core/store/BaseIndex.java
@@ -90,6 +90,16 @@
         return false;
     }
 
+    /** The first shard that is split; there must be one. */
+    int firstSplitShard() {
+        for (int shard = 0; shard < stored.size(); shard++) {
+            if (!stored.get(shard).isEmpty() && !stored.get(shard).lastKey().isRoot()) {
+                return shard;
+            }
+        }
+        throw new IllegalStateException("no shard is split");
+    }
+
     /** Whether a shard is stored in part only, as in a listing whose pages are of different moments. */
     boolean isIncomplete() {
         for (int shard = 0; shard < stored.size(); shard++) {
@@ -101,6 +111,16 @@
         return false;
     }
 
+    /** The buckets of a shard that are stored. */
+    List<Bucket> storedIn(int shard) {
+        return List.copyOf(stored.get(shard).keySet());
+    }
+
+    /** The regions of a shard. */
+    List<Region> regionsOf(int shard) {
+        return regions.get(shard);
+    }
+
     int regionCount() {
         int count = 0;
         for (List<Region> shard : regions) {
--- a/src/main/java/garnetscale/core/store/Bucket.java
+++ b/src/main/java/garnetscale/core/store/Bucket.java
@@ -54,6 +54,16 @@
         return new Bucket(shard, depth + 1, index | bit << depth);
     }
 
+    /** The bucket that this one is a half of; not of a root. */
+    Bucket parent() {
+        return new Bucket(shard, depth - 1, index & (1 << depth - 1) - 1);
+    }
+
+    /** The other half of the parent; not of a root. */
+    Bucket sibling() {
+        return new Bucket(shard, depth, index ^ 1 << depth - 1);
+    }
+
     boolean contains(int hash) {
         return shardOf(hash) == shard && contains(Math.floorDiv(hash, WorkLog.SHARDS), depth, index);
     }
--- a/src/main/java/garnetscale/core/store/Keys.java
+++ b/src/main/java/garnetscale/core/store/Keys.java
@@ -10,6 +10,9 @@
     public static final String LEADER = "g/leader";
     public static final String TERM = "g/term";
     public static final String TYPES = "g/types";
+    /** The version of what is stored that is active for the whole cluster; absent in the first. */
+    public static final String VERSION = "g/version";
+
     static final String JOB = "g/j/";
     /** Entries of the work log. They come before the bases in key order, and so in a listing: see {@link WorkLog}. */
     static final String LOG = "g/l/";
--- a/src/main/java/garnetscale/core/store/Layouts.java
+++ b/src/main/java/garnetscale/core/store/Layouts.java
@@ -1,14 +1,16 @@
 package garnetscale.core.store;
 
-/** Versions of how the work log is stored. A controller publishes the latest one that it knows. */
+import garnetscale.core.upgrade.VersionRange;
+
+/** Versions of how the work log is stored. A controller publishes those that it supports. */
 public final class Layouts {
 
     /** A fixed number of shards and of entries; a controller whose record names no layout knows this one alone. */
-    public static final int FIRST = 1;
+    public static final int FIRST = VersionRange.FIRST_VERSION;
     /** Shards may be split into buckets, and the ring of entries grows with them. */
     public static final int SPLIT_BASE = 2;
-    /** The latest that this program reads and writes. */
-    public static final int LATEST = SPLIT_BASE;
+    /** What this program reads and writes. */
+    public static final VersionRange SUPPORTED = new VersionRange(FIRST, SPLIT_BASE);
 
     private Layouts() {}
 }
--- a/src/main/java/garnetscale/core/store/LogRing.java
+++ b/src/main/java/garnetscale/core/store/LogRing.java
@@ -1,6 +1,7 @@
 package garnetscale.core.store;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -12,20 +13,28 @@
 
     private final TreeMap<Long, String> keys = new TreeMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
+    /** How many keys the first layout doesn't use. */
+    private int beyondFirstLayout;
 
     /** An entry was stored under a key. */
     void put(String key, long number) {
         Long before = numbers.put(key, number);
         if (before != null) {
             keys.remove(before);
+        } else if (isBeyondFirstLayout(key)) {
+            beyondFirstLayout++;
         }
         keys.put(number, key);
     }
 
     void remove(String key) {
         Long before = numbers.remove(key);
-        if (before != null) {
-            keys.remove(before);
+        if (before == null) {
+            return;
+        }
+        keys.remove(before);
+        if (isBeyondFirstLayout(key)) {
+            beyondFirstLayout--;
         }
     }
 
@@ -36,7 +45,54 @@
 
     /** The key that the next entry is to be written under, in a ring of so many keys. */
     String next(int capacity) {
-        return keys.size() < capacity ? nameOf(keys.size()) : keys.firstEntry().getValue();
+        if (keys.size() >= capacity) {
+            return keys.firstEntry().getValue();
+        }
+        int position = keys.size();
+        while (numbers.containsKey(nameOf(position))) {
+            position++;
+        }
+        return nameOf(position);
+    }
+
+    /** The key that the first layout puts an entry under. */
+    static String firstLayoutKey(long number) {
+        return Keys.LOG + Math.floorMod(number, (long) WorkLog.RING);
+    }
+
+    /** Whether the key holds an entry behind the given one. */
+    boolean holdsNewerThan(long number, String key) {
+        return numbers.getOrDefault(key, 0L) > number;
+    }
+
+    /** The newest entry under a key that the first layout doesn't use, or 0. */
+    long newestBeyondFirstLayout() {
+        if (beyondFirstLayout == 0) {
+            return 0;
+        }
+        long newest = 0;
+        for (Map.Entry<String, Long> entry : numbers.entrySet()) {
+            if (isBeyondFirstLayout(entry.getKey())) {
+                newest = Math.max(newest, entry.getValue());
+            }
+        }
+        return newest;
+    }
+
+    /** Keys that the first layout doesn't use and whose entries don't go beyond the given one. */
+    List<String> beyondFirstLayout(long number) {
+        if (beyondFirstLayout == 0) {
+            return List.of();
+        }
+        return numbers.entrySet().stream()
+                .filter(entry -> entry.getValue() <= number && isBeyondFirstLayout(entry.getKey()))
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
+    private static boolean isBeyondFirstLayout(String key) {
+        return Integer.parseInt(key.substring(Keys.LOG.length())) >= WorkLog.RING;
     }
 
     /** Whether the next entry would overwrite one that the base doesn't hold everywhere, being complete up to {@code number}. */
@@ -44,8 +100,8 @@
         return keys.size() >= capacity && keys.firstKey() > number;
     }
 
-    /** Layout 1 calls the key of an entry by its number modulo the ring's first size, and entries are numbered from 1. */
+    /** While the ring has its first size, the keys are used in the order in which the first layout uses them. */
     private static String nameOf(int position) {
-        return Keys.LOG + (position < WorkLog.RING ? (position + 1) % WorkLog.RING : position);
+        return position < WorkLog.RING ? firstLayoutKey(position + 1) : Keys.LOG + position;
     }
 }
--- a/src/main/java/garnetscale/core/store/LogWriter.java
+++ b/src/main/java/garnetscale/core/store/LogWriter.java
@@ -16,9 +16,10 @@
      *
      * @param valueBytes bytes of one value
      * @param ops        puts and deletes
-     * @param maySplit   whether a region that has outgrown a value may be split: every controller knows the layout
+     * @param layout     the layout that may be written
+     * @param splitsAny  whether a shard has to be split in any case, so that controllers of the first layout stay out
      */
-    public record Limits(int valueBytes, int ops, boolean maySplit) {}
+    public record Limits(int valueBytes, int ops, int layout, boolean splitsAny) {}
 
     /** What a transaction may hold in all, and what is left of it for guards and the ends of jobs. */
     private static final int TXN_BYTES = 64 * 1024;
@@ -39,19 +40,25 @@
 
     /** A writer that never splits a region. */
     public LogWriter(StateReplica replica, int valueBytes) {
-        this(replica, new Limits(valueBytes, Integer.MAX_VALUE, false));
+        this(replica, new Limits(valueBytes, Integer.MAX_VALUE, Layouts.FIRST, false));
     }
 
     public LogWriter(StateReplica replica, Limits limits) {
         this.replica = replica;
-        int pageBytes = Math.min(limits.valueBytes(), TXN_BYTES / 4) * 15 / 16;
+        int pageBytes = pageBytes(limits.valueBytes());
+        int opLimit = Math.max(3, limits.ops() / FOLD_IN_OPS);
         BaseIndex.Region due = replica.foldDue();
-        boolean mayFoldInParts = limits.maySplit() || replica.layout() >= Layouts.SPLIT_BASE;
-        if (due != null && mayFoldInParts) {
-            foldInParts(due, pageBytes, Math.max(2, limits.ops() / FOLD_IN_OPS));
+        boolean isSplit = replica.layout() >= Layouts.SPLIT_BASE;
+        if (limits.layout() < Layouts.SPLIT_BASE && isSplit) {
+            convert(due, pageBytes, opLimit);
+        } else if (limits.layout() >= Layouts.SPLIT_BASE && limits.splitsAny() && !isSplit) {
+            foldInParts(replica.base().oldest(), pageBytes, opLimit, true);
+        } else if (due != null && limits.layout() >= Layouts.SPLIT_BASE) {
+            foldInParts(due, pageBytes, opLimit, false);
         } else if (due != null) {
             foldWhole(due.bucket(), pageBytes);
         }
+        replica.ringKeysToDelete().stream().limit(opLimit).forEach(deletes::add);
         this.splitsFirst = replica.layout() < Layouts.SPLIT_BASE
                 && puts.keySet().stream()
                         .anyMatch(key -> !BaseIndex.bucketOf(key).isRoot());
@@ -59,6 +66,55 @@
         this.left = replica.logFull() ? 0 : Math.min(pageBytes, TXN_BYTES - ASIDE - puts.size() * pageBytes);
     }
 
+    /** What a page of a base may take, by the largest value that is allowed. */
+    static int pageBytes(int valueBytes) {
+        return Math.min(valueBytes, TXN_BYTES / 4) * 15 / 16;
+    }
+
+    /**
+     * Back from layout 2 to layout 1: a shard is written as a root again where it and the removal of its buckets fit into a
+     * transaction; else two halves are joined. What is due to be folded goes first, and what can't be joined yet is folded as
+     * it is, so that the ring doesn't run full meanwhile.
+     */
+    private void convert(BaseIndex.Region due, int pageBytes, int opLimit) {
+        BaseIndex base = replica.base();
+        int shard = due != null ? due.bucket().shard() : base.firstSplitShard();
+        Bucket root = Bucket.root(shard);
+        List<WorkLog.Contents> pages = WorkLog.pages(replica.contents(root), pageBytes);
+        List<Bucket> stored = base.storedIn(shard);
+        if (pages.size() <= pageLimit(pageBytes) && stored.size() <= opLimit) {
+            foldWhole(root, pageBytes);
+            stored.stream().filter(bucket -> !bucket.isRoot()).forEach(bucket -> deletePages(bucket, 0));
+        } else if (!join(shard, pageBytes) && due != null) {
+            foldInParts(due, pageBytes, opLimit, false);
+        }
+    }
+
+    /** Writes two halves of a bucket as one where they fit into a page; false when there are none in the shard. */
+    private boolean join(int shard, int pageBytes) {
+        List<BaseIndex.Region> regions = replica.base().regionsOf(shard);
+        for (BaseIndex.Region region : regions) {
+            Bucket bucket = region.bucket();
+            if (bucket.isRoot() || !bucket.equals(region.stored())) {
+                continue;
+            }
+            Bucket sibling = bucket.sibling();
+            boolean isStored = regions.stream().anyMatch(r -> r.bucket().equals(sibling) && sibling.equals(r.stored()));
+            WorkLog.Contents joined = replica.contents(bucket.parent());
+            if (isStored && WorkLog.pages(joined, pageBytes).size() == 1) {
+                puts.put(bucket.parent().key(), WorkLog.pageValue(joined, 1));
+                deletePages(bucket, 0);
+                deletePages(sibling, 0);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static int pageLimit(int pageBytes) {
+        return Math.max(1, (TXN_BYTES - ASIDE) / pageBytes - 1);
+    }
+
     /** Layout 1: a shard is written anew with all of its pages at once. */
     private void foldWhole(Bucket root, int pageBytes) {
         List<WorkLog.Contents> pages = WorkLog.pages(replica.contents(root), pageBytes);
@@ -72,10 +128,15 @@
      * Layout 2: a region is written as buckets that each fit into a value. As many are written as a transaction may hold
      * beside an entry; what the others hold stays where it was, is the oldest then, and so comes next.
      */
-    private void foldInParts(BaseIndex.Region due, int pageBytes, int opLimit) {
+    private void foldInParts(BaseIndex.Region due, int pageBytes, int opLimit, boolean splitsAny) {
         Map<Bucket, WorkLog.Contents> buckets = new LinkedHashMap<>();
-        split(due.bucket(), pageBytes, buckets);
-        int pageLimit = Math.max(1, (TXN_BYTES - ASIDE) / pageBytes - 1);
+        if (splitsAny) {
+            split(due.bucket().child(0), pageBytes, buckets);
+            split(due.bucket().child(1), pageBytes, buckets);
+        } else {
+            split(due.bucket(), pageBytes, buckets);
+        }
+        int pageLimit = pageLimit(pageBytes);
         for (Map.Entry<Bucket, WorkLog.Contents> bucket : buckets.entrySet()) {
             if (puts.size() < Math.min(pageLimit, opLimit)) {
                 puts.put(bucket.getKey().key(), WorkLog.pageValue(bucket.getValue(), 1));
@@ -113,7 +174,7 @@
     }
 
     public boolean folds() {
-        return !puts.isEmpty();
+        return !puts.isEmpty() || !deletes.isEmpty();
     }
 
     /** Whether so many bytes and what a change of a machine usually brings fit into the entry. */
--- a/src/main/java/garnetscale/core/store/Records.java
+++ b/src/main/java/garnetscale/core/store/Records.java
@@ -10,6 +10,8 @@
 import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
+import garnetscale.core.upgrade.ClusterVersion;
+import garnetscale.core.upgrade.VersionRange;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
@@ -210,13 +212,23 @@
     }
 
     public static Map<String, Object> node(NodeInfo n) {
-        return Map.of("i", n.incarnation(), "z", n.zone(), "l", n.layout());
+        return Map.of(
+                "i",
+                n.incarnation(),
+                "z",
+                n.zone(),
+                "o",
+                n.layouts().oldest(),
+                "l",
+                n.layouts().latest());
     }
 
     static NodeInfo node(String name, Object value) {
         Map<?, ?> m = (Map<?, ?>) value;
-        int layout = m.get("l") instanceof Number known ? known.intValue() : Layouts.FIRST;
-        return new NodeInfo(name, whole(m, "i"), text(m, "z"), layout);
+        // A controller from before there were versions publishes none.
+        VersionRange layouts =
+                m.containsKey("l") ? new VersionRange((int) whole(m, "o"), (int) whole(m, "l")) : VersionRange.FIRST;
+        return new NodeInfo(name, whole(m, "i"), text(m, "z"), layouts);
     }
 
     public static Map<String, Object> leader(LeaderInfo l) {
@@ -228,6 +240,15 @@
         return new LeaderInfo(text(m, "h"), whole(m, "i"), whole(m, "t"));
     }
 
+    public static Map<String, Object> version(ClusterVersion v) {
+        return Map.of("v", v.active(), "f", v.floor());
+    }
+
+    static ClusterVersion version(Object value) {
+        Map<?, ?> m = (Map<?, ?>) value;
+        return new ClusterVersion((int) whole(m, "v"), (int) whole(m, "f"));
+    }
+
     public static Map<String, Object> term(long term) {
         return Map.of("t", term);
     }
--- a/src/main/java/garnetscale/core/store/StateReplica.java
+++ b/src/main/java/garnetscale/core/store/StateReplica.java
@@ -5,6 +5,8 @@
 import garnetscale.core.block.NodeInfo;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
+import garnetscale.core.upgrade.ClusterVersion;
+import garnetscale.core.upgrade.VersionRange;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -46,8 +48,23 @@
     private long sequence;
 
     private boolean torn;
+    private final VersionRange supported;
+    private ClusterVersion version = ClusterVersion.FIRST;
+    /** What of the store this controller can't read, and why; null while it can read everything. */
+    private String unreadable;
+
     private long jobsAdded;
 
+    /** A replica that reads whatever this program supports. */
+    public StateReplica() {
+        this(Layouts.SUPPORTED);
+    }
+
+    /** A replica of a controller that supports these layouts. */
+    public StateReplica(VersionRange supported) {
+        this.supported = supported;
+    }
+
     public long ledger() {
         return ledger;
     }
@@ -61,6 +78,24 @@
         return torn;
     }
 
+    /** The version of what is stored that is active for the whole cluster. */
+    public ClusterVersion version() {
+        return version;
+    }
+
+    /**
+     * Which record this controller can't read, and why; null while it can read all. It then holds nothing and decides
+     * nothing: a record that is misread is worse than a controller that stands aside.
+     */
+    public String unreadable() {
+        return unreadable;
+    }
+
+    /** Makes a transaction fail unless the active version is the one that this replica shows. */
+    public Txn guardVersion(Txn txn) {
+        return txn.guard(Keys.VERSION, stamp(Keys.VERSION));
+    }
+
     /** The revision at which a key last changed, 0 when it isn't there. */
     public long stamp(String key) {
         return stamps.getOrDefault(key, 0L);
@@ -155,12 +190,46 @@
     /** The region of the base that the next transaction should write anew, or null. */
     BaseIndex.Region foldDue() {
         BaseIndex.Region oldest = base.oldest();
-        return WorkLog.isDue(oldest.number(), sequence, base.regionCount()) ? oldest : null;
+        boolean due = WorkLog.isDue(oldest.number(), sequence, base.regionCount())
+                || logFull()
+                || inFirstVersion() && ring.newestBeyondFirstLayout() > oldest.number();
+        return due ? oldest : null;
     }
 
     /** Whether a region has to be folded before the next entry may be written. */
     boolean logFull() {
-        return ring.isFull(ringCapacity(), base.oldest().number());
+        long complete = base.oldest().number();
+        return inFirstVersion()
+                ? ring.holdsNewerThan(complete, LogRing.firstLayoutKey(sequence + 1))
+                : ring.isFull(ringCapacity(), complete);
+    }
+
+    /** Keys of the ring that the first layout doesn't know and that hold nothing of use any more; in the first version. */
+    List<String> ringKeysToDelete() {
+        return inFirstVersion() ? ring.beyondFirstLayout(base.oldest().number()) : List.of();
+    }
+
+    private boolean inFirstVersion() {
+        return version.active() == Layouts.FIRST;
+    }
+
+    /** Whether what is stored is by the active version throughout: else the leader is still converting it. */
+    public boolean isConverted() {
+        return !inFirstVersion() || !base.isSplit() && ring.newestBeyondFirstLayout() == 0;
+    }
+
+    /** Whether some shard takes more pages than given, which the first layout can't write any more, or soon can't. */
+    public boolean hasOutgrownFirstLayout(int valueBytes, int pages) {
+        if (machines.size() + jobs.size() < WorkLog.SHARDS) {
+            return false;
+        }
+        int bytes = LogWriter.pageBytes(valueBytes);
+        for (int shard = 0; shard < WorkLog.SHARDS; shard++) {
+            if (WorkLog.pages(contents(Bucket.root(shard)), bytes).size() > pages) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** The key of the last entry, or null when there is none. */
@@ -170,7 +239,7 @@
 
     /** The key that the next entry goes under. */
     String nextEntryKey() {
-        return ring.next(ringCapacity());
+        return inFirstVersion() ? LogRing.firstLayoutKey(sequence + 1) : ring.next(ringCapacity());
     }
 
     private int ringCapacity() {
@@ -212,6 +281,7 @@
      * the pages of a base are of different moments: a machine may have moved between them and be on neither.
      */
     public void reset(List<Change> all, long revision) {
+        ledger = -1;
         changed.addAll(machines.keySet());
         jobs.clear();
         marks.clear();
@@ -222,19 +292,20 @@
         types = List.of();
         leader = null;
         termCounter = 0;
+        version = ClusterVersion.FIRST;
+        unreadable = null;
         base = new BaseIndex();
         ring = new LogRing();
         torn = false;
         TreeMap<Long, WorkLog.Entry> entries = new TreeMap<>();
         BaseListing bases = new BaseListing();
+        if (!canRead(all)) {
+            return;
+        }
         for (Change c : all) {
             stamps.put(c.key(), c.stamp());
-            if (c.key().startsWith(Keys.LOG)) {
-                noteEntry(c, entries);
-            } else if (c.key().startsWith(Keys.BASE)) {
-                bases.add(c.key(), c.value());
-            } else {
-                applyPlain(c);
+            if (!reads(c, () -> read(c, entries, bases))) {
+                return;
             }
         }
         base = bases.index();
@@ -249,19 +320,63 @@
         ledger = torn ? -1 : revision;
     }
 
+    private void read(Change c, TreeMap<Long, WorkLog.Entry> entries, BaseListing bases) {
+        if (c.key().startsWith(Keys.LOG)) {
+            noteEntry(c, entries);
+        } else if (c.key().startsWith(Keys.BASE)) {
+            bases.add(c.key(), c.value());
+        } else {
+            applyPlain(c);
+        }
+    }
+
+    /** Whether the active version, if it is among the changes, is supported: nothing else is looked at before. */
+    private boolean canRead(List<Change> changes) {
+        for (Change c : changes) {
+            if (c.key().equals(Keys.VERSION) && !reads(c, () -> requireSupported(c))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void requireSupported(Change c) {
+        int active =
+                c.value() == null ? Layouts.FIRST : Records.version(c.value()).active();
+        if (!supported.contains(active)) {
+            throw new IllegalArgumentException("version " + active + ", and this controller supports " + supported);
+        }
+    }
+
+    /** Reads a record; one that can't be read makes the whole replica one that decides nothing. */
+    private boolean reads(Change c, Runnable reading) {
+        try {
+            reading.run();
+            return true;
+        } catch (RuntimeException e) {
+            unreadable = c.key() + " as of revision " + c.stamp() + ": " + e.getMessage();
+            ledger = -1;
+            return false;
+        }
+    }
+
     /** Applies what a watch brought; false when it was overtaken by a newer answer. */
     public boolean advance(List<Change> log, long revision) {
-        if (revision <= ledger) {
+        if (revision <= ledger || unreadable != null) {
             return false;
         }
+        if (!canRead(log)) {
+            return true;
+        }
         TreeMap<Long, WorkLog.Entry> entries = new TreeMap<>();
         List<String> over = new ArrayList<>();
         for (Change c : log) {
             // A page of a listing may be newer than the revision that the watch goes on from.
             if (c.stamp() <= ledger || c.stamp() < stamp(c.key())) {
                 if (c.key().startsWith(Keys.LOG) && c.value() != null && c.stamp() > ledger) {
-                    WorkLog.Entry e = WorkLog.entry(c.value());
-                    entries.put(e.number(), e);
+                    if (!reads(c, () -> addEntry(c, entries))) {
+                        return true;
+                    }
                 }
                 continue;
             }
@@ -270,20 +385,8 @@
             } else {
                 stamps.put(c.key(), c.stamp());
             }
-            if (c.key().startsWith(Keys.LOG)) {
-                noteEntry(c, entries);
-            } else if (c.key().startsWith(Keys.BASE)) {
-                // What it says is in here already; only how far it goes matters, for the next fold.
-                if (c.value() != null) {
-                    base.put(c.key(), WorkLog.numberOf(c.value()));
-                } else {
-                    base.remove(c.key());
-                }
-            } else {
-                applyPlain(c);
-                if (c.value() == null && c.key().startsWith(Keys.JOB)) {
-                    over.add(c.key().substring(Keys.JOB.length()));
-                }
+            if (!reads(c, () -> follow(c, entries, over))) {
+                return true;
             }
         }
         applyEntries(entries);
@@ -293,14 +396,36 @@
         return true;
     }
 
+    private void follow(Change c, TreeMap<Long, WorkLog.Entry> entries, List<String> over) {
+        if (c.key().startsWith(Keys.LOG)) {
+            noteEntry(c, entries);
+        } else if (c.key().startsWith(Keys.BASE)) {
+            // What it says is in here already; only how far it goes matters, for the next fold.
+            if (c.value() != null) {
+                base.put(c.key(), WorkLog.numberOf(c.value()));
+            } else {
+                base.remove(c.key());
+            }
+        } else {
+            applyPlain(c);
+            if (c.value() == null && c.key().startsWith(Keys.JOB)) {
+                over.add(c.key().substring(Keys.JOB.length()));
+            }
+        }
+    }
+
     private void noteEntry(Change c, TreeMap<Long, WorkLog.Entry> entries) {
         if (c.value() == null) {
             ring.remove(c.key());
-            return;
+        } else {
+            ring.put(c.key(), addEntry(c, entries));
         }
+    }
+
+    private static long addEntry(Change c, TreeMap<Long, WorkLog.Entry> entries) {
         WorkLog.Entry e = WorkLog.entry(c.value());
         entries.put(e.number(), e);
-        ring.put(c.key(), e.number());
+        return e.number();
     }
 
     /** Applies the entries that follow the last one without a gap. */
@@ -345,6 +470,8 @@
             leader = v == null ? null : Records.leader(v);
         } else if (key.equals(Keys.TERM)) {
             termCounter = v == null ? 0 : Records.term(v);
+        } else if (key.equals(Keys.VERSION)) {
+            version = v == null ? ClusterVersion.FIRST : Records.version(v);
         } else if (key.equals(Keys.TYPES)) {
             types = v == null ? List.of() : Records.types(v);
         }
--- a/src/test/java/garnetscale/app/FeaturesFileTest.java
+++ b/src/test/java/garnetscale/app/FeaturesFileTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import garnetscale.core.Features;
+import garnetscale.core.store.Layouts;
+import garnetscale.core.upgrade.VersionRange;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,35 +31,53 @@
     void whatIsNotNamedIsOff() throws IOException, Settings.Faults {
         assertEquals(Features.NONE, read("# nothing\n"));
         assertEquals(
-                Features.NONE, read("[growing_log]\nenabled = false\n[shared_sockets]\nenabled = false\nfrom = 0.6\n"));
+                Features.NONE,
+                read("[staged_upgrade]\nenabled = false\n[shared_sockets]\nenabled = false\nfrom = 0.6\n"));
     }
 
     @Test
     void featuresAreReadWithTheirSettings() throws IOException, Settings.Faults {
         assertEquals(
-                new Features(true, 0.75),
-                read("[growing_log]\nenabled = true\n[shared_sockets]\nenabled = true\nfrom = 0.75\n"));
-        assertEquals(new Features(false, 0.95), read("[shared_sockets]\nenabled = true\n"));
+                new Features(true, 3, new VersionRange(1, 1), 0.75),
+                read(
+                        "[staged_upgrade]\nenabled = true\nsettle = 3\nlatest = 1\n[shared_sockets]\nenabled = true\nfrom = 0.75\n"));
+        assertEquals(
+                new Features(false, Features.SETTLE, Layouts.SUPPORTED, 0.95),
+                read("[shared_sockets]\nenabled = true\n"));
     }
 
     @Test
     void theShippedFileIsGood() throws Settings.Faults {
-        assertEquals(new Features(true, 0.95), FeaturesFile.read(Path.of("deploy", "features.toml")));
+        assertEquals(
+                new Features(true, Features.SETTLE, Layouts.SUPPORTED, 0.95),
+                FeaturesFile.read(Path.of("deploy", "features.toml")));
     }
 
     @Test
     void everyFaultIsNamed() {
         assertEquals(
                 List.of(
-                        "growing_log.enabled must be true or false",
-                        "growing_log.speed is unknown; there are enabled",
+                        "staged_upgrade.enabled must be true or false",
+                        "staged_upgrade.settle must be a number from 0.5 to 100.0",
+                        "staged_upgrade.latest must be a whole number from 1 to 2",
+                        "staged_upgrade.speed is unknown; there are enabled, settle, latest",
                         "shared_sockets.enabled is missing; it is true or false",
                         "shared_sockets.from must be a number from 0.5 to 1.0",
-                        "growinglog is no feature; there are growing_log, shared_sockets"),
+                        "upgrade is no feature; there are shared_sockets, staged_upgrade"),
                 faults(
-                        "[growing_log]\nenabled = 1\nspeed = 2\n[shared_sockets]\nfrom = 1.5\n[growinglog]\nenabled = true\n"));
-        assertEquals(List.of("growing_log is not a table"), faults("growing_log = true\n"));
-        assertEquals(1, faults("[growing_log\n").size());
+                        """
+                        [staged_upgrade]
+                        enabled = 1
+                        settle = 0
+                        latest = 1.5
+                        speed = 2
+                        [shared_sockets]
+                        from = 1.5
+                        [upgrade]
+                        enabled = true
+                        """));
+        assertEquals(List.of("staged_upgrade is not a table"), faults("staged_upgrade = true\n"));
+        assertEquals(1, faults("[staged_upgrade\n").size());
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/garnetscale/app/StateLinkVersionTest.java
@@ -0,0 +1,167 @@
+package garnetscale.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetscale.core.Features;
+import garnetscale.core.TestParams;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.StateReplica;
+import garnetscale.core.store.Txn;
+import garnetscale.core.store.TxnResult;
+import garnetscale.core.upgrade.ClusterVersion;
+import garnetscale.core.upgrade.VersionRange;
+import garnetscale.net.HttpResult;
+import garnetscale.wire.Cbor;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** Every change is guarded by the active version; a controller that doesn't support it stands aside until it is back. */
+class StateLinkVersionTest {
+
+    private static final long STAMP = 7;
+
+    private record Call(String path, byte[] body, Consumer<HttpResult> done) {}
+
+    /** Keeps what is asked until the test answers it, and timers until the test runs them. */
+    private static final class ManualIo implements StateLink.Io {
+        private final List<Call> calls = new ArrayList<>();
+        private List<Runnable> timers = new ArrayList<>();
+        private long now = 1_000_000;
+
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public void after(long ms, Runnable run) {
+            timers.add(run);
+        }
+
+        @Override
+        public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Consumer<HttpResult> done) {
+            calls.add(new Call(path, body, done));
+        }
+
+        private Call take(String start) {
+            Call first = calls.stream()
+                    .filter(c -> c.path().startsWith(start))
+                    .findFirst()
+                    .orElseThrow(() -> new AssertionError("nothing asked for " + start + ": " + calls));
+            calls.remove(first);
+            return first;
+        }
+
+        private boolean isAsked(String start) {
+            return calls.stream().anyMatch(c -> c.path().startsWith(start));
+        }
+
+        private void runTimers() {
+            now += 10_000;
+            List<Runnable> due = timers;
+            timers = new ArrayList<>();
+            due.forEach(Runnable::run);
+        }
+    }
+
+    private static final class Silent implements StateLink.Listener {
+        @Override
+        public void advanced() {
+            // Only what is sent matters here.
+        }
+
+        @Override
+        public void confirmed(long sentAt) {
+            // As above.
+        }
+
+        @Override
+        public void leased(long lease) {
+            // As above.
+        }
+    }
+
+    private final ManualIo io = new ManualIo();
+    private final VersionRange first = VersionRange.FIRST;
+    private final StateReplica replica = new StateReplica(first);
+    private final StateLink link = new StateLink(
+            TestParams.small()
+                    .features(new Features(false, Features.SETTLE, first, Features.NEVER))
+                    .build(),
+            io,
+            new SplittableRandom(1),
+            replica,
+            new Silent());
+
+    private static HttpResult ok(Map<String, ?> body) {
+        return HttpResult.answered(200, Cbor.write(body));
+    }
+
+    private void list(ClusterVersion version) {
+        List<Map<String, ?>> pairs = version == null
+                ? List.of()
+                : List.of(Map.of("key", Keys.VERSION, "v", Records.version(version), "stamp", STAMP));
+        io.take("/keys?").done().accept(ok(Map.of("pairs", pairs, "has_next", false, "ledger", 10)));
+    }
+
+    private static Map<?, ?> guards(Call call) throws IOException {
+        Map<Object, Object> guards = new HashMap<>();
+        for (Object guard : (List<?>) Cbor.readMap(call.body()).get("guards")) {
+            guards.put(((Map<?, ?>) guard).get("key"), ((Number) ((Map<?, ?>) guard).get("stamp")).longValue());
+        }
+        return guards;
+    }
+
+    @Test
+    void everyChangeIsGuardedByTheActiveVersion() throws IOException {
+        link.start();
+        list(new ClusterVersion(1, 1));
+        link.send(new Txn().put("a/b", Map.of()), (result, ledger) -> {});
+        assertEquals(STAMP, guards(io.take("/multi")).get(Keys.VERSION));
+        link.submit(new Txn().put("a/b", Map.of()), (result, ledger) -> {});
+        assertEquals(STAMP, guards(io.take("/multi")).get(Keys.VERSION));
+        link.lead(new Txn().put("a/b", Map.of()), (result, ledger) -> {});
+        assertEquals(STAMP, guards(io.take("/multi")).get(Keys.VERSION));
+    }
+
+    @Test
+    void aControllerThatCannotReadTheVersionStandsAsideUntilItCan() {
+        link.start();
+        io.take("/holds").done().accept(ok(Map.of("tenure", 5)));
+        list(null);
+        assertTrue(io.isAsked("/multi"), "it enters itself among the live ones");
+        io.take("/multi").done().accept(ok(Map.of("ledger", 11)));
+        io.runTimers();
+        io.take("/holds/5/touch").done().accept(ok(Map.of()));
+
+        Map<String, ?> change =
+                Map.of("set", Keys.VERSION, "v", Records.version(new ClusterVersion(2, 1)), "stamp", 12);
+        io.take("/follow").done().accept(ok(Map.of("ledger", 12, "log", List.of(change))));
+        assertFalse(replica.loaded());
+        io.calls.clear();
+        List<TxnResult> results = new ArrayList<>();
+        link.send(new Txn().put("a/b", Map.of()), (result, ledger) -> results.add(result));
+        assertEquals(List.of(TxnResult.REFUSED), results);
+        assertFalse(io.isAsked("/multi"), "it writes nothing");
+
+        io.runTimers();
+        assertFalse(io.isAsked("/holds"), "its lease isn't renewed, so that others get its blocks");
+        list(new ClusterVersion(2, 1));
+        assertFalse(replica.loaded());
+        io.runTimers();
+        list(new ClusterVersion(1, 1));
+        assertTrue(replica.loaded(), "back once the version before is active again");
+        io.runTimers();
+        assertTrue(io.isAsked("/holds/5/touch"));
+    }
+}
--- a/src/test/java/garnetscale/core/TestParams.java
+++ b/src/test/java/garnetscale/core/TestParams.java
@@ -7,7 +7,6 @@
 /** Builds the core's figures for tests: those of a small cluster or of a large one, with what a test needs changed. */
 public final class TestParams {
 
-    private static final int VALUE_BYTES = 16 * 1024;
     private static final long CLOCK_OFF_MS = 25;
 
     private String self = "n0";
@@ -24,6 +23,7 @@
     private double cloudRps = 1.5;
     private long listLagMs = 10_000;
     private int maxConnections = 600;
+    private int valueBytes = 16 * 1024;
     private Features features = Features.NONE;
 
     private TestParams() {}
@@ -86,6 +86,11 @@
         return this;
     }
 
+    public TestParams valueBytes(int bytes) {
+        valueBytes = bytes;
+        return this;
+    }
+
     public TestParams features(Features all) {
         features = all;
         return this;
@@ -109,7 +114,7 @@
                 txnOps,
                 stateRps,
                 stateWritesPerS,
-                VALUE_BYTES,
+                valueBytes,
                 cloudRps,
                 listLagMs,
                 maxConnections,
--- a/src/test/java/garnetscale/core/lead/AttemptNumbersTest.java
+++ b/src/test/java/garnetscale/core/lead/AttemptNumbersTest.java
@@ -41,7 +41,7 @@
         StateModel state = new StateModel();
         long lease = state.grant(0, 60_000);
         state.commit(
-                new Txn().put(Keys.node("n0"), Records.node(new NodeInfo("n0", lease, "a", Layouts.LATEST)), lease));
+                new Txn().put(Keys.node("n0"), Records.node(new NodeInfo("n0", lease, "a", Layouts.SUPPORTED)), lease));
         StateReplica replica = new StateReplica();
         replica.reset(state.list(Keys.MIRRORED, null, 100), state.ledger());
         Leader leader = new Leader(params, replica, new Blocks(params), line -> {});
--- a/src/test/java/garnetscale/core/lead/ElectionTest.java
+++ b/src/test/java/garnetscale/core/lead/ElectionTest.java
@@ -29,7 +29,7 @@
         StateModel state = new StateModel();
         Txn txn = new Txn().put(Keys.LEADER, Records.leader(new LeaderInfo("n0", 1, 1)));
         for (int i = 0; i < 3; i++) {
-            txn.put(Keys.node("n" + i), Records.node(new NodeInfo("n" + i, i + 1, "a", Layouts.LATEST)));
+            txn.put(Keys.node("n" + i), Records.node(new NodeInfo("n" + i, i + 1, "a", Layouts.SUPPORTED)));
         }
         state.commit(txn);
         StateReplica replica = new StateReplica();
--- /dev/null
+++ b/src/test/java/garnetscale/core/sim/ClusterShape.java
@@ -0,0 +1,58 @@
+package garnetscale.core.sim;
+
+import garnetscale.core.Features;
+import garnetscale.core.Params;
+import garnetscale.core.TestParams;
+import garnetscale.core.store.Layouts;
+import garnetscale.core.upgrade.VersionRange;
+import java.util.ArrayList;
+import java.util.List;
+
+/** How many controllers and workers there are, spread over the zones in turn. */
+record ClusterShape(int nodes, List<String> zones, int workers, int valueBytes) {
+
+    private static final int VALUE_BYTES = 16 * 1024;
+
+    static final ClusterShape SMALL = new ClusterShape(3, List.of("a", "b"), 6, VALUE_BYTES);
+    static final ClusterShape THREE_ZONES = new ClusterShape(3, List.of("a", "b", "c"), 300, VALUE_BYTES);
+    static final ClusterShape FIVE_NODES = new ClusterShape(5, List.of("a", "b"), 300, VALUE_BYTES);
+    static final ClusterShape FOUR_THOUSAND = new ClusterShape(5, List.of("a", "b"), 4000, VALUE_BYTES);
+    /** Values so small that a few dozen machines outgrow a shard. */
+    static final ClusterShape SMALL_VALUES = new ClusterShape(3, List.of("a", "b"), 160, 4 * 1024);
+
+    String zone(int i) {
+        return zones.get(i % zones.size());
+    }
+
+    Params params(String self) {
+        return params(self, Layouts.SUPPORTED);
+    }
+
+    /** The settings of a node that supports these layouts. */
+    Params params(String self, VersionRange layouts) {
+        List<Params.Member> members = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            members.add(new Params.Member("n" + i, zone(i), ""));
+        }
+        return TestParams.small()
+                .self(self)
+                .members(members)
+                .zones(zones)
+                .teams(
+                        new Params.Team("red", 8, red(), 0, Double.POSITIVE_INFINITY),
+                        new Params.Team("blue", 8, blue(), 0, Double.POSITIVE_INFINITY))
+                .objectives(new Params.Objective("wait", "c", 2, 0.9, 0))
+                .workers(SimulatedCluster.REPORT, SimulatedCluster.LEASE, SimulatedCluster.CANCEL)
+                .valueBytes(valueBytes)
+                .features(new Features(true, 0.5, layouts, Features.NEVER))
+                .build();
+    }
+
+    double red() {
+        return 4.0 * workers;
+    }
+
+    double blue() {
+        return Math.floor(2.7 * workers);
+    }
+}
--- a/src/test/java/garnetscale/core/sim/FourThousandMachinesTest.java
+++ b/src/test/java/garnetscale/core/sim/FourThousandMachinesTest.java
@@ -15,11 +15,11 @@
  */
 class FourThousandMachinesTest {
 
-    private static final int MACHINES = SimulatedCluster.Shape.FOUR_THOUSAND.workers();
+    private static final int MACHINES = ClusterShape.FOUR_THOUSAND.workers();
     private static final long END = 150_000;
 
     private final SimulatedCluster cluster =
-            new SimulatedCluster(41, SimulatedCluster.Fault.NONE, SimulatedCluster.Shape.FOUR_THOUSAND);
+            new SimulatedCluster(41, SimulatedCluster.Fault.NONE, ClusterShape.FOUR_THOUSAND);
     private final List<String> jobs = new ArrayList<>();
 
     private void submit(long at, String id, int tasks, double seconds) {
--- a/src/test/java/garnetscale/core/sim/MeetingsTest.java
+++ b/src/test/java/garnetscale/core/sim/MeetingsTest.java
@@ -31,7 +31,7 @@
     private static Map<String, Integer> play(int seeds, Consumer<SimulatedCluster> script) {
         Map<String, Integer> met = new TreeMap<>();
         for (long seed = 1; seed <= seeds; seed++) {
-            SimulatedCluster w = new SimulatedCluster(seed, SimulatedCluster.Fault.NONE, SimulatedCluster.Shape.SMALL);
+            SimulatedCluster w = new SimulatedCluster(seed, SimulatedCluster.Fault.NONE, ClusterShape.SMALL);
             w.watches = true;
             w.wordLoss = 0.5;
             script.accept(w);
--- a/src/test/java/garnetscale/core/sim/SimulatedCluster.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedCluster.java
@@ -1,8 +1,6 @@
 package garnetscale.core.sim;
 
-import garnetscale.core.Features;
 import garnetscale.core.Params;
-import garnetscale.core.TestParams;
 import garnetscale.core.bid.Estimator;
 import garnetscale.core.block.BlockHolder;
 import garnetscale.core.block.Blocks;
@@ -29,6 +27,9 @@
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
 import garnetscale.core.store.TxnResult;
+import garnetscale.core.upgrade.UpgradeDecision;
+import garnetscale.core.upgrade.UpgradeStep;
+import garnetscale.core.upgrade.VersionRange;
 import garnetscale.net.Budget;
 import garnetscale.standin.StateLimits;
 import garnetscale.standin.StateModel;
@@ -60,8 +61,10 @@
     private static final int TOO_MANY = 429;
     /** The part of the rate that a leader uses. */
     private static final double LEADER_SHARE = 0.675;
-    /** What the state service takes in one transaction. */
-    private static final StateLimits LIMITS = new StateLimits(16 * 1024, 24, 64 * 1024);
+    /** What the state service takes in one transaction, and in one value. */
+    private static final int TXN_OPS = 24;
+
+    private static final int TXN_BYTES = 64 * 1024;
 
     /** A deliberate mistake, to show that the rules are watched. */
     enum Fault {
@@ -69,47 +72,8 @@
         FREE_UNSEEN
     }
 
-    /** How many controllers and workers there are, spread over the zones in turn. */
-    record Shape(int nodes, List<String> zones, int workers) {
-
-        static final Shape SMALL = new Shape(3, List.of("a", "b"), 6);
-        static final Shape THREE_ZONES = new Shape(3, List.of("a", "b", "c"), 300);
-        static final Shape FIVE_NODES = new Shape(5, List.of("a", "b"), 300);
-        static final Shape FOUR_THOUSAND = new Shape(5, List.of("a", "b"), 4000);
-
-        String zone(int i) {
-            return zones.get(i % zones.size());
-        }
-
-        Params params(String self) {
-            List<Params.Member> members = new ArrayList<>();
-            for (int i = 0; i < nodes; i++) {
-                members.add(new Params.Member("n" + i, zone(i), ""));
-            }
-            return TestParams.small()
-                    .self(self)
-                    .members(members)
-                    .zones(zones)
-                    .teams(
-                            new Params.Team("red", 8, red(), 0, Double.POSITIVE_INFINITY),
-                            new Params.Team("blue", 8, blue(), 0, Double.POSITIVE_INFINITY))
-                    .objectives(new Params.Objective("wait", "c", 2, 0.9, 0))
-                    .workers(REPORT, LEASE, CANCEL)
-                    .features(new Features(true, Features.NEVER))
-                    .build();
-        }
-
-        double red() {
-            return 4.0 * workers;
-        }
-
-        double blue() {
-            return Math.floor(2.7 * workers);
-        }
-    }
-
     final Rules rules;
-    final StateModel state = new StateModel(LIMITS);
+    final StateModel state;
     final List<Node> nodes = new ArrayList<>();
     final List<Worker> workers = new ArrayList<>();
     /** Jobs that were submitted with a mistake: their tasks fail wherever they run. */
@@ -117,6 +81,7 @@
 
     private final Map<String, Long> cutUntil = new HashMap<>();
     private final Map<String, Long> frozenUntil = new HashMap<>();
+    private final Map<String, VersionRange> installed = new HashMap<>();
     private final Map<String, Worker> byId = new HashMap<>();
     private final Map<String, String> zones = new HashMap<>();
     private final StateReplica observer = new StateReplica();
@@ -125,7 +90,7 @@
     private final Map<String, Long> blockTerms = new HashMap<>();
     private final Map<String, Long> blockMovedAt = new HashMap<>();
     private final Fault fault;
-    final Shape shape;
+    final ClusterShape shape;
     long outageUntil;
     long copiesUntil;
     double loss = 0.002;
@@ -157,10 +122,11 @@
     /** Until then these machines reach no controller, while direct requests reach them. */
     private final Map<String, Long> muteUntil = new HashMap<>();
 
-    SimulatedCluster(long seed, Fault fault, Shape shape) {
+    SimulatedCluster(long seed, Fault fault, ClusterShape shape) {
         super(seed);
         this.fault = fault;
         this.shape = shape;
+        this.state = new StateModel(new StateLimits(shape.valueBytes(), TXN_OPS, TXN_BYTES));
         this.rules = new Rules(Map.of("red", shape.red(), "blue", shape.blue()), zones, CANCEL, () -> now);
         state.commit(new Txn().put(Keys.TYPES, Records.types(List.of(TYPE))));
         observer.reset(state.list(Keys.MIRRORED, null, 10), state.ledger());
@@ -181,6 +147,34 @@
         writes = new Budget(paced.stateWritesPerS(), paced.stateWritesPerS(), now);
     }
 
+    /** What a node's process supports from its next start on. */
+    void install(String node, VersionRange layouts) {
+        installed.put(node, layouts);
+    }
+
+    /** Has an operator ask whichever node believes that it leads. */
+    UpgradeDecision upgrade(UpgradeStep step) {
+        Node node =
+                nodes.stream().filter(n -> n.name.equals(leader())).findFirst().orElseThrow();
+        return node.up ? node.leader.upgrade(now, step) : new UpgradeDecision.Refused("it is down");
+    }
+
+    private int commit(Node by, Txn txn) {
+        int active = stored().version().active();
+        int status = commit(txn);
+        if (status == 200 && !txn.ops().isEmpty() && !by.layouts.contains(active)) {
+            rules.broken.add(now + " wrote outside its versions: " + by.name + " supports " + by.layouts + ", " + active
+                    + " was active");
+        }
+        int next = stored().version().active();
+        if (next > active) {
+            stored().nodes().stream()
+                    .filter(node -> !node.layouts().contains(next))
+                    .forEach(node -> rules.broken.add(now + " activated " + next + " over " + node));
+        }
+        return status;
+    }
+
     private int commit(Txn txn) {
         if (!writes.take(now, txn.ops().size())) {
             refusedWrites++;
@@ -574,6 +568,8 @@
         private int life;
 
         private boolean up;
+        /** What this process supports. */
+        private VersionRange layouts;
         /** A leader's part of the changes a second. */
         private Budget pace;
 
@@ -585,8 +581,9 @@
         private void start() {
             life++;
             up = true;
-            replica = new StateReplica();
-            Params p = shape.params(name);
+            layouts = installed.getOrDefault(name, Layouts.SUPPORTED);
+            replica = new StateReplica(layouts);
+            Params p = shape.params(name, layouts);
             Blocks blocks = new Blocks(p);
             holder = new BlockHolder(p, replica, blocks, new Estimator(REPORT));
             leader = new Leader(p, replica, blocks, s -> {});
@@ -710,6 +707,10 @@
         }
 
         private void renew() {
+            if (replica.unreadable() != null) {
+                met("stood aside");
+                return;
+            }
             if (lease < 0) {
                 ask(
                         () -> state.grant(now, 1500),
@@ -797,7 +798,7 @@
                                 .put(
                                         Keys.node(name),
                                         Records.node(new NodeInfo(
-                                                name, lease, shape.params(name).zoneOfNode(name), Layouts.LATEST)),
+                                                name, lease, shape.params(name).zoneOfNode(name), layouts)),
                                         lease),
                         (r, l) -> {});
             } else if (lease >= 0) {
@@ -807,12 +808,17 @@
         }
 
         private void commit(Txn txn, BiConsumer<TxnResult, Long> done) {
+            if (!replica.loaded()) {
+                done.accept(TxnResult.REFUSED, -1L);
+                return;
+            }
+            replica.guardVersion(txn);
             if (now < lateUntil && random.nextDouble() < lateShare) {
                 int mine = life;
                 at(
                         lateAtOnce ? 1 + random.nextInt(5) : 2000 + random.nextInt(10_000),
                         () -> met(
-                                now >= outageUntil && state.commit(txn) == 200
+                                now >= outageUntil && SimulatedCluster.this.commit(this, txn) == 200
                                         ? "carried out without an answer"
                                         : "late and overtaken"));
                 after(2000, () -> {
@@ -824,7 +830,7 @@
             }
             ask(
                     () -> {
-                        int status = SimulatedCluster.this.commit(txn);
+                        int status = SimulatedCluster.this.commit(this, txn);
                         TxnResult result = status == 200
                                 ? TxnResult.OK
                                 : status == 409
--- a/src/test/java/garnetscale/core/sim/SimulationTest.java
+++ b/src/test/java/garnetscale/core/sim/SimulationTest.java
@@ -16,21 +16,16 @@
 
     /** Plays a day; the jobs must all be over some time after the last failure. */
     private static SimulatedCluster day(long seed, SimulatedCluster.Fault fault) {
-        return day(seed, fault, SimulatedCluster.Shape.SMALL, 14, 12);
+        return day(seed, fault, ClusterShape.SMALL, 14, 12);
     }
 
     private static SimulatedCluster day(
-            long seed, SimulatedCluster.Fault fault, SimulatedCluster.Shape shape, int count, int most) {
+            long seed, SimulatedCluster.Fault fault, ClusterShape shape, int count, int most) {
         return day(seed, fault, shape, count, most, false);
     }
 
     private static SimulatedCluster day(
-            long seed,
-            SimulatedCluster.Fault fault,
-            SimulatedCluster.Shape shape,
-            int count,
-            int most,
-            boolean guests) {
+            long seed, SimulatedCluster.Fault fault, ClusterShape shape, int count, int most, boolean guests) {
         SimulatedCluster w = new SimulatedCluster(seed, fault, shape);
         List<String> jobs = new ArrayList<>();
         if (guests) {
@@ -141,7 +136,7 @@
     @Test
     void noRuleIsBrokenByGuests() {
         for (long seed = 1; seed <= 4; seed++) {
-            SimulatedCluster w = day(seed, SimulatedCluster.Fault.NONE, SimulatedCluster.Shape.SMALL, 14, 12, true);
+            SimulatedCluster w = day(seed, SimulatedCluster.Fault.NONE, ClusterShape.SMALL, 14, 12, true);
             assertEquals(List.of(), w.rules.broken, "seed " + seed);
             assertTrue(w.rules.starts > 1650, "only " + w.rules.starts + " starts");
         }
@@ -172,8 +167,7 @@
     /** Hundreds of machines, by the shapes of the fleet deployments: what is bounded and paced comes into play. */
     @Test
     void noRuleIsBrokenInAFleet() {
-        for (SimulatedCluster.Shape shape :
-                List.of(SimulatedCluster.Shape.THREE_ZONES, SimulatedCluster.Shape.FIVE_NODES)) {
+        for (ClusterShape shape : List.of(ClusterShape.THREE_ZONES, ClusterShape.FIVE_NODES)) {
             SimulatedCluster w = day(7, SimulatedCluster.Fault.NONE, shape, 40, 120);
             assertEquals(List.of(), w.rules.broken, shape.toString());
             assertTrue(w.rules.starts > 1000, "only " + w.rules.starts + " starts");
@@ -182,7 +176,7 @@
 
     @Test
     void aFaultInAFleetIsCaught() {
-        assertFalse(day(7, SimulatedCluster.Fault.FREE_UNSEEN, SimulatedCluster.Shape.FIVE_NODES, 40, 120)
+        assertFalse(day(7, SimulatedCluster.Fault.FREE_UNSEEN, ClusterShape.FIVE_NODES, 40, 120)
                 .rules
                 .broken
                 .isEmpty());
--- a/src/test/java/garnetscale/core/store/SplitBaseTest.java
+++ b/src/test/java/garnetscale/core/store/SplitBaseTest.java
@@ -9,6 +9,7 @@
 import garnetscale.core.job.TaskId;
 import garnetscale.core.job.TestJob;
 import garnetscale.core.machine.Placement;
+import garnetscale.core.upgrade.ClusterVersion;
 import garnetscale.standin.StateLimits;
 import garnetscale.standin.StateModel;
 import java.util.ArrayList;
@@ -37,7 +38,6 @@
     private final StateModel state = new StateModel(new StateLimits(VALUE_BYTES, OPS, TXN_BYTES));
     private final Random random = new Random(11);
     private final StateReplica leader = new StateReplica();
-    private boolean maySplit = true;
     private long attempts;
 
     SplitBaseTest() {
@@ -47,11 +47,18 @@
                         Records.job(new JobRecord(
                                 TestJob.named("wk-1").tasks(100_000).build(), JobState.LIVE, 0))));
         leader.reset(state.list(Keys.MIRRORED, null, 1000), state.ledger());
+        activate(Layouts.SPLIT_BASE);
+    }
+
+    private void activate(int version) {
+        state.commit(new Txn().put(Keys.VERSION, Records.version(new ClusterVersion(version, Layouts.FIRST))));
+        follow(leader);
     }
 
     /** Writes an entry with the records of some machines, and whatever is due to be folded. */
     private void write(List<String> machines) {
-        LogWriter log = new LogWriter(leader, new LogWriter.Limits(VALUE_BYTES, OPS, maySplit));
+        LogWriter log = new LogWriter(
+                leader, new LogWriter.Limits(VALUE_BYTES, OPS, leader.version().active(), false));
         Map<String, MachineRecord> records = new LinkedHashMap<>();
         for (String id : machines) {
             List<Placement> placed = new ArrayList<>();
@@ -171,7 +178,7 @@
     /** Without the layout that allows it nothing is split: then the service refuses what has outgrown a transaction. */
     @Test
     void withoutSplittingTheLimitsAreExceeded() {
-        maySplit = false;
+        activate(Layouts.FIRST);
         try {
             fill();
         } catch (AssertionError refused) {
@@ -185,7 +192,7 @@
     /** What was stored in several pages before is taken over, whichever of its parts is written first. */
     @Test
     void shardsOfSeveralPagesAreTakenOver() {
-        maySplit = false;
+        activate(Layouts.FIRST);
         List<String> shard = new ArrayList<>();
         for (int i = 0; i < 28; i++) {
             shard.add(machine(i * WorkLog.SHARDS));
@@ -195,7 +202,7 @@
         }
         Bucket root = Bucket.root(Bucket.shardOf(Bucket.hashOfMachine(shard.get(0))));
         assertTrue(leader.base().pages(root) > 1, "one page only");
-        maySplit = true;
+        activate(Layouts.SPLIT_BASE);
         for (int i = 0; i < 2 * WorkLog.RING; i++) {
             write(List.of(shard.get(i % shard.size())));
             StateReplica fresh = new StateReplica();
@@ -232,4 +239,69 @@
         }
         assertFalse(found.equals(expected), "layout 1 would take it for whole");
     }
+
+    /**
+     * Back to the first layout once the fleet is small enough for it, however far the store had grown, and on again: read
+     * alike at every moment, and in the end just as the first layout would have stored it.
+     */
+    @Test
+    void theFirstLayoutIsRestoredWhenItIsActiveAgain() {
+        fill();
+        List<String> all = List.copyOf(leader.placedMachines());
+        for (int i = 0; i < all.size(); i += MACHINES_IN_ENTRY) {
+            remove(all.subList(i, Math.min(all.size(), i + MACHINES_IN_ENTRY)));
+        }
+        List<String> few = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            few.add(machine(i));
+        }
+        assertTrue(
+                leader.base().regionCount() > 4 * WorkLog.SHARDS, leader.base().regionCount() + " regions");
+        for (int i = 0; i < few.size(); i += MACHINES_IN_ENTRY) {
+            write(few.subList(i, i + MACHINES_IN_ENTRY));
+        }
+        activate(Layouts.FIRST);
+        int steps = 0;
+        while (!leader.isConverted()) {
+            // Half of the time there is work meanwhile, half of the time the conversion goes on by itself.
+            write(steps % 2 == 0 ? List.of(few.get(random.nextInt(few.size()))) : List.of());
+            if (++steps % 25 == 0) {
+                assertReadAlike("step " + steps);
+            }
+            assertTrue(steps < 5000, "not converted");
+        }
+        for (int i = 0; i < 3 * WorkLog.RING; i++) {
+            write(List.of(few.get(random.nextInt(few.size()))));
+        }
+        assertReadAlike("converted");
+        for (Change entry : state.list(Keys.LOG, null, 100_000)) {
+            assertEquals(LogRing.firstLayoutKey(WorkLog.numberOf(entry.value())), entry.key());
+        }
+        for (Change page : state.list(Keys.BASE, null, 100_000)) {
+            assertTrue(BaseIndex.bucketOf(page.key()).isRoot(), page.key());
+        }
+        activate(Layouts.SPLIT_BASE);
+        fill();
+        assertReadAlike("on again");
+        assertEquals(Layouts.SPLIT_BASE, leader.layout());
+        assertEquals(List.of(), state.oversized());
+    }
+
+    private void assertReadAlike(String when) {
+        StateReplica fresh = new StateReplica();
+        fresh.reset(state.list(Keys.MIRRORED, null, 100_000), state.ledger());
+        assertTrue(fresh.loaded(), when);
+        assertEquals(seen(leader), seen(fresh), when);
+    }
+
+    private void remove(List<String> machines) {
+        LogWriter log = new LogWriter(
+                leader, new LogWriter.Limits(VALUE_BYTES, OPS, leader.version().active(), false));
+        Map<String, MachineRecord> records = new LinkedHashMap<>();
+        machines.forEach(id -> records.put(id, MachineRecord.NONE));
+        Txn txn = new Txn();
+        log.write(txn, records, Map.of());
+        assertEquals(200, state.commit(txn), () -> state.oversized().toString());
+        follow(leader);
+    }
 }
--- a/src/test/java/garnetscale/core/trace/TraceRunner.java
+++ b/src/test/java/garnetscale/core/trace/TraceRunner.java
@@ -206,7 +206,7 @@
         n.lease = state.grant(now, 1_000_000_000);
         String zone = n.params.zoneOfNode(name);
         state.commit(new Txn()
-                .put(Keys.node(name), Records.node(new NodeInfo(name, n.lease, zone, Layouts.LATEST)), n.lease));
+                .put(Keys.node(name), Records.node(new NodeInfo(name, n.lease, zone, Layouts.SUPPORTED)), n.lease));
         n.holder.incarnate(n.lease);
         n.leader.incarnate(n.lease);
         nodes.put(name, n);
--- /dev/null
+++ b/src/test/java/garnetscale/core/upgrade/UpgradeCluster.java
@@ -0,0 +1,94 @@
+package garnetscale.core.upgrade;
+
+import garnetscale.core.block.LeaderInfo;
+import garnetscale.core.block.NodeInfo;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.StateReplica;
+import garnetscale.core.store.Txn;
+import garnetscale.standin.StateModel;
+import java.util.HashMap;
+import java.util.Map;
+
+/** A few controllers on one state service, each with a replica that is as old as the test leaves it. */
+final class UpgradeCluster {
+
+    static final long SETTLE_MS = 1000;
+    static final int VALUE_BYTES = 16 * 1024;
+
+    /** A controller's process. */
+    static final class Controller {
+        final String name;
+        final VersionRange supported;
+        final StateReplica replica;
+        final UpgradeCoordinator upgrades;
+
+        private Controller(String name, VersionRange supported) {
+            this.name = name;
+            this.supported = supported;
+            this.replica = new StateReplica(supported);
+            this.upgrades = new UpgradeCoordinator(replica, supported, SETTLE_MS, VALUE_BYTES);
+        }
+    }
+
+    final StateModel state = new StateModel();
+    private final Map<String, Long> leases = new HashMap<>();
+    private long term;
+
+    /** A controller starts under a name, reads the store and enters itself among the live ones. */
+    Controller start(String name, VersionRange supported) {
+        end(name);
+        Controller controller = new Controller(name, supported);
+        list(controller);
+        if (controller.replica.loaded()) {
+            long lease = state.grant(0, Long.MAX_VALUE / 4);
+            leases.put(name, lease);
+            commit(
+                    controller,
+                    new Txn().put(Keys.node(name), Records.node(new NodeInfo(name, lease, "a", supported)), lease));
+            follow(controller);
+        }
+        return controller;
+    }
+
+    /** The process under a name ends, and so does its lease. */
+    void end(String name) {
+        Long lease = leases.remove(name);
+        if (lease != null) {
+            state.end(lease);
+        }
+    }
+
+    /** The controller becomes the leader. */
+    void elect(Controller controller) {
+        long lease = leases.getOrDefault(controller.name, 0L);
+        commit(
+                controller,
+                new Txn().put(Keys.LEADER, Records.leader(new LeaderInfo(controller.name, lease, ++term)), lease));
+    }
+
+    /** Sends a change as every controller does: it fails unless the version is the one that the sender knows. */
+    int commit(Controller by, Txn txn) {
+        return by.replica.loaded() ? state.commit(by.replica.guardVersion(txn)) : 0;
+    }
+
+    void list(Controller controller) {
+        controller.replica.reset(state.list(Keys.MIRRORED, null, Integer.MAX_VALUE), state.ledger());
+    }
+
+    void follow(Controller controller) {
+        StateReplica replica = controller.replica;
+        if (replica.loaded()) {
+            replica.advance(state.changes(Keys.MIRRORED, replica.ledger()), state.ledger());
+        } else {
+            list(controller);
+        }
+    }
+
+    /** The active version as it is stored. */
+    ClusterVersion version() {
+        StateReplica all = new StateReplica(new VersionRange(1, Integer.MAX_VALUE));
+        all.reset(state.list(Keys.VERSION, null, 1), state.ledger());
+        return all.version();
+    }
+}
--- /dev/null
+++ b/src/test/java/garnetscale/core/upgrade/UpgradeCoordinatorTest.java
@@ -0,0 +1,167 @@
+package garnetscale.core.upgrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetscale.core.job.JobRecord;
+import garnetscale.core.job.JobState;
+import garnetscale.core.job.TestJob;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Layouts;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.Txn;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Each step with what stands in its way, and the meetings of steps with controllers that come, go and return. */
+class UpgradeCoordinatorTest {
+
+    private static final VersionRange OLD = VersionRange.FIRST;
+    private static final VersionRange NEW = Layouts.SUPPORTED;
+    private static final long LATER = 10 * UpgradeCluster.SETTLE_MS;
+
+    private final UpgradeCluster cluster = new UpgradeCluster();
+    private final UpgradeCluster.Controller leader = cluster.start("n0", NEW);
+    private long now;
+
+    UpgradeCoordinatorTest() {
+        cluster.elect(leader);
+        settle();
+    }
+
+    /** The leader sees who is there, and has done so for long enough afterwards. */
+    private void settle() {
+        cluster.follow(leader);
+        leader.upgrades.observe(now);
+        now += LATER;
+    }
+
+    private UpgradeDecision ask(UpgradeStep step) {
+        cluster.follow(leader);
+        leader.upgrades.observe(now);
+        return leader.upgrades.decide(now, step);
+    }
+
+    private Txn transaction(UpgradeStep step) {
+        return assertInstanceOf(UpgradeDecision.Commit.class, ask(step)).txn();
+    }
+
+    private String refusal(UpgradeStep step) {
+        return assertInstanceOf(UpgradeDecision.Refused.class, ask(step)).reason();
+    }
+
+    private void carryOut(UpgradeStep step) {
+        assertEquals(200, cluster.commit(leader, transaction(step)));
+        cluster.follow(leader);
+    }
+
+    private static Txn job(String id) {
+        return new Txn()
+                .guard(Keys.job(id), 0)
+                .put(Keys.job(id), Records.job(new JobRecord(TestJob.named(id).build(), JobState.LIVE, 0)));
+    }
+
+    @Test
+    void aControllerThatDoesNotSupportTheVersionIsNamed() {
+        cluster.start("n1", OLD);
+        settle();
+        assertEquals("controller n1 supports 1 to 1 and not 2", refusal(UpgradeStep.ACTIVATE));
+        cluster.start("n1", NEW);
+        assertEquals("controller n1 has been there for 0 of 1000 ms that it has to", refusal(UpgradeStep.ACTIVATE));
+        settle();
+        carryOut(UpgradeStep.ACTIVATE);
+        assertEquals(new ClusterVersion(2, 1), cluster.version());
+    }
+
+    @Test
+    void everyStepIsIdempotentAndFinalizingIsForGood() {
+        carryOut(UpgradeStep.ACTIVATE);
+        assertInstanceOf(UpgradeDecision.Done.class, ask(UpgradeStep.ACTIVATE));
+        carryOut(UpgradeStep.DEACTIVATE);
+        assertInstanceOf(UpgradeDecision.Done.class, ask(UpgradeStep.DEACTIVATE));
+        assertEquals(ClusterVersion.FIRST, cluster.version());
+        carryOut(UpgradeStep.ACTIVATE);
+        carryOut(UpgradeStep.FINALIZE);
+        assertInstanceOf(UpgradeDecision.Done.class, ask(UpgradeStep.FINALIZE));
+        assertEquals("version 2 is finalized", refusal(UpgradeStep.DEACTIVATE));
+        assertEquals(new ClusterVersion(2, 2), cluster.version());
+    }
+
+    /** In the same instant, and so after the leader has looked: any change of who is there makes the activation fail. */
+    @Test
+    void whoeverJoinsLeavesOrReturnsMakesTheActivationFail() {
+        cluster.start("n1", NEW);
+        settle();
+        Txn beforeReturn = transaction(UpgradeStep.ACTIVATE);
+        cluster.start("n1", OLD);
+        assertEquals(409, cluster.commit(leader, beforeReturn));
+        cluster.start("n1", NEW);
+        settle();
+        Txn beforeLeaving = transaction(UpgradeStep.ACTIVATE);
+        cluster.end("n1");
+        assertEquals(409, cluster.commit(leader, beforeLeaving));
+        assertEquals(ClusterVersion.FIRST, cluster.version());
+    }
+
+    /** One that joins for the first time isn't among those relied on; it reads the version first, and so stands aside. */
+    @Test
+    void anOldControllerThatJoinsMeanwhileStandsAside() {
+        Txn activation = transaction(UpgradeStep.ACTIVATE);
+        UpgradeCluster.Controller old = cluster.start("n1", OLD);
+        assertTrue(old.replica.loaded());
+        assertEquals(200, cluster.commit(leader, activation));
+        assertEquals(409, cluster.commit(old, job("wk-1")), "it hasn't seen the switch, and writes nothing");
+        cluster.follow(old);
+        assertFalse(old.replica.loaded());
+        assertEquals(
+                "g/version as of revision " + cluster.state.get(Keys.VERSION).stamp()
+                        + ": version 2, and this controller supports 1 to 1",
+                old.replica.unreadable());
+        assertEquals(0, cluster.commit(old, job("wk-1")));
+        cluster.end("n1");
+        settle();
+        carryOut(UpgradeStep.DEACTIVATE);
+        cluster.follow(old);
+        assertTrue(old.replica.loaded(), "and is back once the version before is active again");
+        assertEquals(200, cluster.commit(old, job("wk-1")));
+    }
+
+    @Test
+    void aLeaderThatWasReplacedActivatesNothing() {
+        Txn late = transaction(UpgradeStep.ACTIVATE);
+        UpgradeCluster.Controller next = cluster.start("n1", NEW);
+        cluster.elect(next);
+        assertEquals(409, cluster.commit(leader, late));
+        assertEquals(ClusterVersion.FIRST, cluster.version());
+    }
+
+    @Test
+    void aLateActivationDoesNotUndoADeactivation() {
+        Txn repeated = transaction(UpgradeStep.ACTIVATE);
+        assertEquals(200, cluster.commit(leader, repeated));
+        carryOut(UpgradeStep.DEACTIVATE);
+        assertEquals(409, cluster.state.commit(repeated));
+        assertEquals(ClusterVersion.FIRST, cluster.version());
+    }
+
+    /** Cut short, or of a kind that nobody knows: it is never taken for absent, and nothing is decided from the rest. */
+    @Test
+    void aRecordThatDoesNotParseIsAnErrorOfThatRecord() {
+        cluster.state.commit(job("wk-1"));
+        cluster.state.commit(new Txn().put(Keys.job("wk-2"), Map.of("s", "LIVE")));
+        cluster.follow(leader);
+        assertNotNull(leader.replica.unreadable());
+        assertTrue(leader.replica.unreadable().startsWith("g/j/wk-2 as of revision "), leader.replica.unreadable());
+        assertFalse(leader.replica.loaded());
+        cluster.list(leader);
+        assertFalse(leader.replica.loaded());
+        cluster.state.commit(job("wk-2")
+                .guard(Keys.job("wk-2"), cluster.state.get(Keys.job("wk-2")).stamp()));
+        cluster.list(leader);
+        assertTrue(leader.replica.loaded(), "readable again, and so is everything");
+        assertNotNull(leader.replica.job("wk-1"));
+    }
+}
