status, job and upgrade on the command line

Need: operators must see versions, leader, blocks and teams, and take an upgrade step by step. A step under way is asked for until it is done.

--- a/src/main/java/garnetscale/app/JobApi.java
+++ b/src/main/java/garnetscale/app/JobApi.java
@@ -243,6 +243,18 @@
         });
     }
 
+    /** How a job that the replica doesn't hold ended; false when nobody knows now, null when it isn't there. */
+    void ended(String id, BiConsumer<Boolean, Records.Archived> found) {
+        Records.Archived known = archive.known(id);
+        if (known != null) {
+            found.accept(true, known);
+        } else if (!replica.loaded() || state.failing() || crowded(QUESTIONS)) {
+            found.accept(false, null);
+        } else {
+            archive.ask(id, found::accept);
+        }
+    }
+
     private void archived(String id, Consumer<Reply> found) {
         waiting++;
         archive.ask(id, (sure, over) -> {
--- a/src/main/java/garnetscale/app/Main.java
+++ b/src/main/java/garnetscale/app/Main.java
@@ -17,7 +17,13 @@
         mixinStandardHelpOptions = true,
         version = "garnetscale 0.1.0",
         description = "A cluster scheduler whose machines bid for work.",
-        subcommands = {Main.Check.class, Rehearsal.class})
+        subcommands = {
+            Main.Check.class,
+            Rehearsal.class,
+            OperatorCommand.Status.class,
+            OperatorCommand.Job.class,
+            OperatorCommand.Upgrade.class
+        })
 public final class Main implements Callable<Integer> {
 
     private static final int GOOD = 0;
--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -35,6 +35,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -131,7 +132,11 @@
                 this::onDead,
                 this::onListed);
         this.front = new JobApi(params, replica, state, this::why, this::onCancelled);
-        this.peers = new PeerLinks(loop, this::onPeer, this::onLink, this::onRefused);
+        ClusterInspector inspector = new ClusterInspector(
+                params,
+                blocks,
+                new ClusterInspector.Sources(replica, leader, Node::now, this::process, this::why, front::ended));
+        this.peers = new PeerLinks(loop, this::onPeer, inspector, this::onLink, this::onRefused);
         Sockets sockets = new Sockets(params.maxConnections(), params.features().sharedSocketsFrom());
         this.workers = new HttpClient(loop, 1, sockets, 1000);
         this.server = new HttpServer(loop, sockets, params.maxConnections(), this::onRequest);
@@ -686,6 +691,15 @@
         queueWork();
     }
 
+    /** What operators are shown of this process. */
+    private Map<String, Object> process() {
+        Map<String, Object> process = new LinkedHashMap<>();
+        process.put("ready", ready());
+        process.put("state_age_ms", state.ageMs());
+        process.put("budgets", state.budgets());
+        return process;
+    }
+
     /** Why a job's work waits, for its user. */
     private String why(JobView job) {
         if (job.unstarted() == 0) {
--- /dev/null
+++ b/src/main/java/garnetscale/app/OperatorClient.java
@@ -0,0 +1,49 @@
+package garnetscale.app;
+
+import garnetscale.net.HttpClient;
+import garnetscale.peer.PeerCodec;
+import garnetscale.peer.PeerMessage;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+
+/** Asks one controller one question over its address for controllers, and waits for the answer. */
+final class OperatorClient {
+
+    /** Longer than any answer: a job of 100,000 placed tasks. */
+    private static final int MOST_BYTES = 64 << 20;
+
+    private final String address;
+    private final int timeoutMs;
+
+    OperatorClient(String address, int timeoutMs) {
+        this.address = address;
+        this.timeoutMs = timeoutMs;
+    }
+
+    /** The answer; an IOException when the controller is dead, silent or answers something else. */
+    PeerMessage.Answer ask(PeerMessage.Inquiry inquiry) throws IOException {
+        PeerCodec codec = new PeerCodec();
+        try (Socket socket = new Socket()) {
+            socket.connect(HttpClient.address(address), timeoutMs);
+            socket.setSoTimeout(timeoutMs);
+            byte[] question = codec.encode(inquiry);
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(question.length);
+            out.write(question);
+            out.flush();
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            int length = in.readInt();
+            if (length < 0 || length > MOST_BYTES) {
+                throw new IOException("an answer of " + length + " bytes");
+            }
+            if (codec.decode(in.readNBytes(length)) instanceof PeerMessage.Answer answer) {
+                return answer;
+            }
+            throw new IOException("not an answer");
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            throw new IOException("not an address like 10.0.0.1:8081", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/app/OperatorCommand.java
@@ -0,0 +1,199 @@
+package garnetscale.app;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import garnetscale.core.upgrade.UpgradeStep;
+import garnetscale.peer.PeerMessage;
+import garnetscale.peer.PeerMessage.Answer.Outcome;
+import garnetscale.wire.Trees;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** What the operators' commands have in common: whom they ask, for how long, and how the answer is printed. */
+@Command(mixinStandardHelpOptions = true)
+abstract class OperatorCommand implements Callable<Integer> {
+
+    private static final int DONE = 0;
+    private static final int FAILED = 1;
+    /** Between two questions about a step that is under way. */
+    private static final long ASK_AGAIN_MS = 200;
+
+    @Spec
+    CommandSpec spec;
+
+    @Parameters(index = "0", paramLabel = "ADDRESS", description = "A controller's address for other controllers.")
+    String address;
+
+    @Option(names = "--json", description = "Print the answer as JSON.")
+    boolean json;
+
+    @Option(
+            names = "--timeout",
+            paramLabel = "SECONDS",
+            defaultValue = "5",
+            description = "Give up after so long (default ${DEFAULT-VALUE}).")
+    int timeoutS;
+
+    /** What is asked. */
+    abstract PeerMessage.Inquiry inquiry();
+
+    @Override
+    public Integer call() throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(timeoutS);
+        OperatorClient client = new OperatorClient(address, Math.max(1, timeoutS) * 1000);
+        try {
+            PeerMessage.Answer answer = client.ask(inquiry());
+            while (answer.outcome() == Outcome.UNDER_WAY && System.nanoTime() < end) {
+                TimeUnit.MILLISECONDS.sleep(ASK_AGAIN_MS);
+                answer = client.ask(inquiry());
+            }
+            return print(answer);
+        } catch (IOException e) {
+            spec.commandLine().getErr().println("garnetscale: " + address + " doesn't answer: " + e.getMessage());
+            return FAILED;
+        }
+    }
+
+    private int print(PeerMessage.Answer answer) throws IOException {
+        PrintWriter out = spec.commandLine().getOut();
+        Object tree = read(answer.json());
+        if (answer.outcome() == Outcome.REFUSED) {
+            spec.commandLine().getErr().println("garnetscale: refused: " + ((Map<?, ?>) tree).get("reason"));
+            return FAILED;
+        }
+        if (answer.outcome() == Outcome.UNDER_WAY) {
+            spec.commandLine().getErr().println("garnetscale: not carried out yet; ask again");
+            return FAILED;
+        }
+        if (json) {
+            out.println(answer.json());
+        } else {
+            print(out, "", (Map<?, ?>) tree);
+        }
+        out.flush();
+        return DONE;
+    }
+
+    private static Object read(String json) throws IOException {
+        try (JsonParser parser = new JsonFactory().createParser(json)) {
+            return Trees.read(parser);
+        }
+    }
+
+    private static void print(PrintWriter out, String indent, Map<?, ?> tree) {
+        tree.forEach((key, value) -> {
+            if (value instanceof Map<?, ?> map) {
+                out.println(indent + key + ":");
+                print(out, indent + "  ", map);
+            } else if (value instanceof List<?> rows) {
+                out.println(indent + key + ":" + (rows.isEmpty() ? " none" : ""));
+                rows.forEach(row -> out.println(indent + "  " + row(row)));
+            } else {
+                out.println(indent + key + ": " + value);
+            }
+        });
+    }
+
+    private static String row(Object row) {
+        if (!(row instanceof Map<?, ?> map)) {
+            return String.valueOf(row);
+        }
+        StringBuilder text = new StringBuilder();
+        map.forEach((key, value) ->
+                text.append(text.isEmpty() ? "" : "  ").append(key).append(' ').append(value));
+        return text.toString();
+    }
+
+    /** A controller's view of the cluster. */
+    @Command(name = "status", description = "Show leader, versions, controllers, blocks, teams and budgets.")
+    static final class Status extends OperatorCommand {
+
+        @Override
+        PeerMessage.Inquiry inquiry() {
+            return new PeerMessage.Inquiry(PeerMessage.Inquiry.Kind.STATUS, "");
+        }
+    }
+
+    /** One job. */
+    @Command(name = "job", description = "Show a job's state, why it waits and where it runs.")
+    static final class Job extends OperatorCommand {
+
+        @Parameters(index = "1", paramLabel = "ID", description = "The job's id.")
+        String id;
+
+        @Override
+        PeerMessage.Inquiry inquiry() {
+            return new PeerMessage.Inquiry(PeerMessage.Inquiry.Kind.JOB, id);
+        }
+    }
+
+    /** A step of an upgrade, which only the leader carries out. */
+    abstract static class Step extends OperatorCommand {
+
+        abstract UpgradeStep step();
+
+        @Override
+        PeerMessage.Inquiry inquiry() {
+            return new PeerMessage.Inquiry(PeerMessage.Inquiry.Kind.UPGRADE, step().name());
+        }
+    }
+
+    /** See {@link UpgradeStep#ACTIVATE}. */
+    @Command(name = "activate", description = "Make the next version of what is stored the active one.")
+    static final class Activate extends Step {
+
+        @Override
+        UpgradeStep step() {
+            return UpgradeStep.ACTIVATE;
+        }
+    }
+
+    /** See {@link UpgradeStep#DEACTIVATE}. */
+    @Command(name = "deactivate", description = "Go back to the version before; what is stored is converted.")
+    static final class Deactivate extends Step {
+
+        @Override
+        UpgradeStep step() {
+            return UpgradeStep.DEACTIVATE;
+        }
+    }
+
+    /** See {@link UpgradeStep#FINALIZE}. */
+    @Command(name = "finalize", description = "Give up the way back to the version before.")
+    static final class Finalize extends Step {
+
+        @Override
+        UpgradeStep step() {
+            return UpgradeStep.FINALIZE;
+        }
+    }
+
+    /** The steps of an upgrade, and the state of it. */
+    @Command(
+            name = "upgrade",
+            mixinStandardHelpOptions = true,
+            description = "See and change the version of what is stored.",
+            subcommands = {Status.class, Activate.class, Deactivate.class, Finalize.class})
+    static final class Upgrade implements Callable<Integer> {
+
+        private static final int BAD_INPUT = 2;
+
+        @Spec
+        CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            spec.commandLine().usage(spec.commandLine().getErr());
+            return BAD_INPUT;
+        }
+    }
+}
--- a/src/main/java/garnetscale/app/Rehearsal.java
+++ b/src/main/java/garnetscale/app/Rehearsal.java
@@ -3,6 +3,7 @@
 import garnetscale.core.Features;
 import garnetscale.net.HttpClient;
 import garnetscale.net.HttpResult;
+import garnetscale.peer.PeerMessage;
 import garnetscale.standin.StandIns;
 import garnetscale.wire.Cbor;
 import io.netty.channel.EventLoopGroup;
@@ -39,6 +40,7 @@
     private static final int FIRST_PORT = 12_000;
     private static final int LAST_PORT = 30_000;
     private static final int PORT_TRIES = 50;
+    private static final int INSPECTION_MS = 5000;
 
     @Option(names = "--seconds", defaultValue = "20", description = "Give up after so long (default ${DEFAULT-VALUE}).")
     int seconds;
@@ -74,7 +76,7 @@
                 nodes.add(node);
                 node.start();
             }
-            return play(listen) ? 0 : 1;
+            return play(listen) && isInspected(back[0]) ? 0 : 1;
         } finally {
             nodes.forEach(Node::stop);
             loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
@@ -87,6 +89,14 @@
         }
     }
 
+    /** Whether a controller tells an operator of the leader. */
+    private static boolean isInspected(String address) throws IOException {
+        PeerMessage.Answer answer = new OperatorClient(address, INSPECTION_MS)
+                .ask(new PeerMessage.Inquiry(PeerMessage.Inquiry.Kind.STATUS, ""));
+        return answer.outcome() == PeerMessage.Answer.Outcome.DONE
+                && answer.json().contains("\"leader\":\"node-");
+    }
+
     /**
      * A port outside the range that systems give out by themselves. From within it, the stand-ins and the controllers' own
      * connections could take the port between this look and the controller that is to listen on it, and a build failed.
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -14,7 +14,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -120,6 +122,20 @@
         });
     }
 
+    /** What may be sent now of each part of the limits, and how much of it comes in a second. */
+    Map<String, Object> budgets() {
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("watches", budget(watches));
+        all.put("reads", budget(reads));
+        all.put("leader_changes", budget(writes));
+        all.put("submissions", budget(submissions));
+        return all;
+    }
+
+    private Map<String, Object> budget(Budget budget) {
+        return Map.of("available", budget.available(now()), "per_s", budget.perS());
+    }
+
     /** How old the newest request is that the service answered. */
     long ageMs() {
         return now() - confirmedAt;
--- a/src/main/java/garnetscale/net/Budget.java
+++ b/src/main/java/garnetscale/net/Budget.java
@@ -45,6 +45,17 @@
         return missing <= 0 ? 0 : (long) Math.ceil(missing / perS * 1000);
     }
 
+    /** How many tokens there are; below 0 after more was taken than was there. */
+    public double available(long now) {
+        refill(now);
+        return tokens;
+    }
+
+    /** How many tokens come in a second. */
+    public double perS() {
+        return perS;
+    }
+
     private void refill(long now) {
         if (now > last) {
             tokens = Math.min(most, tokens + (now - last) * perS / 1000);
--- a/src/main/java/garnetscale/net/PeerLinks.java
+++ b/src/main/java/garnetscale/net/PeerLinks.java
@@ -36,6 +36,11 @@
  */
 public final class PeerLinks {
 
+    /** Answers operators, on the event loop, by calling back once. */
+    public interface Inspector {
+        void answer(PeerMessage.Inquiry inquiry, Consumer<PeerMessage.Answer> answer);
+    }
+
     private static final int MAX_FRAME = 4 << 20;
     /** Bytes that may wait for a slow peer before its link is given up. */
     private static final int MAX_WAITING = 1 << 20;
@@ -47,6 +52,7 @@
     private final PeerCodec codec = new PeerCodec();
     private final Map<String, Channel> links = new HashMap<>();
     private final Consumer<PeerMessage> receiver;
+    private final Inspector inspector;
     private final Consumer<String> connected;
     private final Consumer<String> refused;
 
@@ -55,8 +61,13 @@
      * broke and the node refuses the next at once, as it does while its process is down (and at times otherwise).
      */
     public PeerLinks(
-            EventLoopGroup loop, Consumer<PeerMessage> receiver, Consumer<String> connected, Consumer<String> refused) {
+            EventLoopGroup loop,
+            Consumer<PeerMessage> receiver,
+            Inspector inspector,
+            Consumer<String> connected,
+            Consumer<String> refused) {
         this.loop = loop;
+        this.inspector = inspector;
         this.receiver = receiver;
         this.connected = connected;
         this.refused = refused;
@@ -74,6 +85,7 @@
                                 .addLast(
                                         new ReadTimeoutHandler(4 * SILENT_S),
                                         new LengthFieldBasedFrameDecoder(MAX_FRAME, 0, 4, 0, 4),
+                                        new LengthFieldPrepender(4),
                                         new Incoming());
                     }
                 })
@@ -84,7 +96,12 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
-            receiver.accept(codec.decode(ByteBufUtil.getBytes(frame)));
+            PeerMessage message = codec.decode(ByteBufUtil.getBytes(frame));
+            if (message instanceof PeerMessage.Inquiry inquiry) {
+                inspector.answer(inquiry, answer -> ctx.writeAndFlush(Unpooled.wrappedBuffer(codec.encode(answer))));
+            } else {
+                receiver.accept(message);
+            }
         }
 
         @Override
--- a/src/main/java/garnetscale/peer/PeerCodec.java
+++ b/src/main/java/garnetscale/peer/PeerCodec.java
@@ -39,6 +39,8 @@
     private static final int CANCELLED = 5;
     private static final int OVER = 6;
     private static final int BID_SHEET = 8;
+    private static final int INQUIRY = 9;
+    private static final int ANSWER = 10;
     private static final TaskState[] STATES = TaskState.values();
     private static final ExitCause[] CAUSES = ExitCause.values();
 
@@ -99,6 +101,14 @@
         } else if (message instanceof PeerMessage.Bids b) {
             out.writeIndex(BID_SHEET);
             batch(out, b.batch());
+        } else if (message instanceof PeerMessage.Inquiry i) {
+            out.writeIndex(INQUIRY);
+            out.writeString(i.kind().name());
+            out.writeString(i.argument());
+        } else if (message instanceof PeerMessage.Answer a) {
+            out.writeIndex(ANSWER);
+            out.writeString(a.outcome().name());
+            out.writeString(a.json());
         } else {
             throw new IllegalArgumentException("no form for " + message);
         }
@@ -196,6 +206,8 @@
                         in.readString(),
                         new Records.Archived(
                                 JobState.valueOf(in.readString()), in.readInt(), in.readInt(), in.readString()));
+            case INQUIRY -> new PeerMessage.Inquiry(PeerMessage.Inquiry.Kind.valueOf(in.readString()), in.readString());
+            case ANSWER -> new PeerMessage.Answer(PeerMessage.Answer.Outcome.valueOf(in.readString()), in.readString());
             case BID_SHEET -> new PeerMessage.Bids(batch(in));
             default -> throw new IOException("not a message: " + kind);
         };
--- a/src/main/java/garnetscale/peer/PeerMessage.java
+++ b/src/main/java/garnetscale/peer/PeerMessage.java
@@ -46,6 +46,33 @@
     /** What a holder observes of one of its machines, for the leader. */
     record Seen(Observation observation) implements PeerMessage {}
 
+    /** What an operator asks a controller, on the command line; no controller asks another. */
+    record Inquiry(Kind kind, String argument) implements PeerMessage {
+
+        /** What is asked; all but {@code UPGRADE} only read. */
+        public enum Kind {
+            /** The controller's view of the cluster. */
+            STATUS,
+            /** The job that the argument names. */
+            JOB,
+            /** The step that the argument names. */
+            UPGRADE
+        }
+    }
+
+    /** The answer to an {@link Inquiry}, in JSON. */
+    record Answer(Outcome outcome, String json) implements PeerMessage {
+
+        /** How the inquiry ended. */
+        public enum Outcome {
+            DONE,
+            /** It is being carried out: asked for again, it is found done. */
+            UNDER_WAY,
+            /** Nothing was changed; the answer says why. */
+            REFUSED
+        }
+    }
+
     /** The bids of a holder's machines, for the leader. */
     record Bids(BidBatch batch) implements PeerMessage {}
 }
--- /dev/null
+++ b/src/test/java/garnetscale/app/OperatorCommandTest.java
@@ -0,0 +1,187 @@
+package garnetscale.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetscale.core.Params;
+import garnetscale.core.TestParams;
+import garnetscale.core.block.BlockLease;
+import garnetscale.core.block.Blocks;
+import garnetscale.core.block.LeaderInfo;
+import garnetscale.core.block.NodeInfo;
+import garnetscale.core.job.JobRecord;
+import garnetscale.core.job.JobState;
+import garnetscale.core.job.TestJob;
+import garnetscale.core.lead.Leader;
+import garnetscale.core.store.Keys;
+import garnetscale.core.store.Layouts;
+import garnetscale.core.store.Records;
+import garnetscale.core.store.StateReplica;
+import garnetscale.core.store.Txn;
+import garnetscale.core.upgrade.ClusterVersion;
+import garnetscale.core.upgrade.VersionRange;
+import garnetscale.net.PeerLinks;
+import garnetscale.standin.StateModel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
+
+/** The operators' commands over loopback, against the inspector of a controller whose store the test writes. */
+class OperatorCommandTest {
+
+    private static final long LONG_AGO = 1_000_000;
+
+    private final Params params = TestParams.small()
+            .members(List.of(new Params.Member("n0", "a", ""), new Params.Member("n1", "a", "10.0.0.2:8081")))
+            .teams(new Params.Team("red", 8, 64, 0, Double.POSITIVE_INFINITY))
+            .build();
+    private final StateModel state = new StateModel();
+    private final long lease = state.grant(0, Long.MAX_VALUE / 4);
+    private final StateReplica replica = new StateReplica();
+    private final Blocks blocks = new Blocks(params);
+    private final Leader leader = new Leader(params, replica, blocks, line -> {});
+    private final EventLoopGroup loop = new NioEventLoopGroup(1);
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+    private long now;
+    private boolean silent;
+    private String address;
+
+    @BeforeEach
+    void start() {
+        state.commit(new Txn()
+                .put(Keys.node("n0"), Records.node(new NodeInfo("n0", lease, "a", Layouts.SUPPORTED)), lease)
+                .put(Keys.LEADER, Records.leader(new LeaderInfo("n0", lease, 3)), lease)
+                .put(Keys.block("a/0"), Records.block(new BlockLease("n0", lease, 17)))
+                .put(
+                        Keys.job("wk-1"),
+                        Records.job(new JobRecord(
+                                TestJob.named("wk-1").team("red").tasks(5).build(), JobState.LIVE, 0))));
+        replica.reset(state.list(Keys.MIRRORED, null, 100), state.ledger());
+        leader.incarnate(lease);
+        ClusterInspector inspector = new ClusterInspector(
+                params,
+                blocks,
+                new ClusterInspector.Sources(
+                        replica,
+                        leader,
+                        () -> now,
+                        () -> Map.of("ready", true),
+                        job -> job.unstarted() + " tasks wait for room",
+                        (id, found) -> found.accept(
+                                true, id.equals("wk-0") ? new Records.Archived(JobState.DONE, 4, 4, "red") : null)));
+        ChannelFuture listening = new PeerLinks(
+                        loop,
+                        message -> {},
+                        (inquiry, answer) -> {
+                            if (!silent) {
+                                inspector.answer(inquiry, answer);
+                            }
+                        },
+                        node -> {},
+                        node -> {})
+                .listen("127.0.0.1:0")
+                .awaitUninterruptibly();
+        address = "127.0.0.1:" + ((InetSocketAddress) listening.channel().localAddress()).getPort();
+    }
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private int run(String... args) {
+        out.getBuffer().setLength(0);
+        err.getBuffer().setLength(0);
+        return new CommandLine(new Main())
+                .setOut(new PrintWriter(out, true))
+                .setErr(new PrintWriter(err, true))
+                .execute(args);
+    }
+
+    private void commit(Txn txn) {
+        assertEquals(200, state.commit(txn));
+        replica.advance(state.changes(Keys.MIRRORED, replica.ledger()), state.ledger());
+    }
+
+    @Test
+    void statusShowsTheCluster() {
+        assertEquals(0, run("status", address));
+        for (String line : List.of(
+                "node: n0",
+                "leader: n0",
+                "leader_term: 3",
+                "  active: 1",
+                "  node n0  zone a  incarnation " + lease + "  versions 1 to 2",
+                "  block a/0  holder n0  term 17",
+                "  block a/1  holder none  term 0",
+                "  team red  jobs 1  waiting 5  placed 0  cpus 0.0  cpus_guaranteed 8.0  cpus_max 64.0  gpus 0.0  gpus_max none")) {
+            assertTrue(out.toString().lines().anyMatch(line::equals), line + " isn't in\n" + out);
+        }
+        assertEquals(0, run("status", address, "--json"));
+        assertTrue(out.toString().startsWith("{\"node\":\"n0\",\"complete\":true,"), out.toString());
+    }
+
+    @Test
+    void jobsAreShownWhetherTheyLiveOrNot() {
+        assertEquals(0, run("job", address, "wk-1"));
+        assertTrue(out.toString().contains("why: 5 tasks wait for room"), out.toString());
+        assertEquals(0, run("job", address, "wk-0"));
+        assertTrue(out.toString().contains("state: DONE"), out.toString());
+        assertEquals(1, run("job", address, "wk-2"));
+        assertEquals("garnetscale: refused: no job wk-2\n", err.toString());
+    }
+
+    @Test
+    void stepsAreCarriedOutByTheLeaderAlone() {
+        leader.plan(now);
+        assertEquals(1, run("upgrade", "activate", address));
+        assertTrue(
+                err.toString().startsWith("garnetscale: refused: controller n0 has been there for "), err.toString());
+        now += LONG_AGO;
+        assertEquals(1, run("upgrade", "activate", address, "--timeout", "0"));
+        assertEquals("garnetscale: not carried out yet; ask again\n", err.toString());
+        commit(leader.plan(now));
+        assertEquals(new ClusterVersion(2, 1), replica.version());
+        assertEquals(0, run("upgrade", "activate", address));
+        assertTrue(out.toString().contains("active: 2"), out.toString());
+        commit(new Txn().put(Keys.LEADER, Records.leader(new LeaderInfo("n1", lease, 4)), lease));
+        assertEquals(1, run("upgrade", "finalize", address));
+        assertEquals(
+                "garnetscale: refused: this controller isn't the leader; n1 is, at 10.0.0.2:8081\n", err.toString());
+        assertEquals(new ClusterVersion(2, 1), replica.version());
+    }
+
+    @Test
+    void aControllerThatStandsAsideSaysSo() {
+        commit(new Txn().put(Keys.VERSION, Records.version(new ClusterVersion(9, 1))));
+        assertEquals(0, run("upgrade", "status", address));
+        assertTrue(out.toString().contains("version 9, and this controller supports " + new VersionRange(1, 2)));
+        assertEquals(1, run("upgrade", "finalize", address));
+        assertEquals(1, run("job", address, "wk-1"));
+    }
+
+    @Test
+    void deadAndSilentControllersAndBadAddressesEndWithOneLine() {
+        silent = true;
+        assertEquals(1, run("status", address, "--timeout", "1"));
+        assertEquals(1, err.toString().lines().count());
+        stop();
+        assertEquals(1, run("status", address, "--timeout", "1"));
+        assertTrue(err.toString().startsWith("garnetscale: " + address + " doesn't answer: "), err.toString());
+        assertEquals(1, run("status", "nowhere"));
+        assertEquals("garnetscale: nowhere doesn't answer: not an address like 10.0.0.1:8081\n", err.toString());
+        assertFalse(run("upgrade") == 0);
+    }
+}
--- a/src/test/java/garnetscale/peer/PeerCodecTest.java
+++ b/src/test/java/garnetscale/peer/PeerCodecTest.java
@@ -61,7 +61,9 @@
                                     new TaskId("wk-000398", 0), 16777218, TaskState.EXITED, ExitCause.STOPPED, true)),
                     List.of(16777219L))),
             new PeerMessage.Bids(new BidBatch(
-                    "hive-0", 4, 431, Map.of("a/0", 1048577L), List.of(new Bid("m-000231", 2, "wk-000412", 3, 41.5)))));
+                    "hive-0", 4, 431, Map.of("a/0", 1048577L), List.of(new Bid("m-000231", 2, "wk-000412", 3, 41.5)))),
+            new PeerMessage.Inquiry(PeerMessage.Inquiry.Kind.JOB, "wk-000412"),
+            new PeerMessage.Answer(PeerMessage.Answer.Outcome.REFUSED, "{\"reason\":\"no job wk-000412\"}"));
 
     @Test
     void everyMessageComesOutAsItWentIn() throws IOException {
