Upgrade costs little per draft; holes, removed machines and stored bytes of the program before are tested

Per draft it looked over all regions three times and over the live controllers, and each change was read through a lambda. Change: the oldest region and the count are kept; controllers are looked at 40 times a settling time; the size of a shard is one sum. Planted faults that SplitBaseTest let pass (an older bucket wins, a bucket dropped early, a hole not noticed) have tests; first-layout.cbor is what the program before stored, read and taken over.

--- a/src/main/java/garnetscale/core/store/BaseIndex.java
+++ b/src/main/java/garnetscale/core/store/BaseIndex.java
@@ -24,6 +24,8 @@
 
     private final List<TreeMap<Bucket, Stored>> stored = new ArrayList<>();
     private final List<List<Region>> regions = new ArrayList<>();
+    private int regionCount = WorkLog.SHARDS;
+    private Region oldest;
 
     BaseIndex() {
         for (int shard = 0; shard < WorkLog.SHARDS; shard++) {
@@ -39,6 +41,7 @@
             copy.stored.get(shard).putAll(stored.get(shard));
             copy.regions.set(shard, regions.get(shard));
         }
+        copy.regionCount = regionCount;
         return copy;
     }
 
@@ -122,15 +125,18 @@
     }
 
     int regionCount() {
-        int count = 0;
-        for (List<Region> shard : regions) {
-            count += shard.size();
-        }
-        return count;
+        return regionCount;
     }
 
-    /** The region that goes least far. */
+    /** The region that goes least far; kept until something changes, since every draft asks for it. */
     Region oldest() {
+        if (oldest == null) {
+            oldest = findOldest();
+        }
+        return oldest;
+    }
+
+    private Region findOldest() {
         Region oldest = null;
         for (List<Region> shard : regions) {
             for (Region region : shard) {
@@ -172,7 +178,9 @@
     private void derive(int shard) {
         List<Region> list = new ArrayList<>();
         cover(Bucket.root(shard), null, 0, list);
+        regionCount += list.size() - regions.get(shard).size();
         regions.set(shard, List.copyOf(list));
+        oldest = null;
     }
 
     /** Adds the regions of a bucket: it is one itself unless a part of it is stored apart. */
@@ -181,7 +189,7 @@
         Stored here = shard.get(bucket);
         Bucket holder = here == null ? from : bucket;
         long upTo = here == null ? number : here.number();
-        if (shard.keySet().stream().noneMatch(other -> !other.equals(bucket) && bucket.contains(other))) {
+        if (!hasStoredWithin(bucket, shard)) {
             into.add(new Region(bucket, holder, upTo));
             return;
         }
@@ -189,6 +197,18 @@
         cover(bucket.child(1), holder, upTo, into);
     }
 
+    private static boolean hasStoredWithin(Bucket bucket, TreeMap<Bucket, Stored> shard) {
+        if (shard.isEmpty() || shard.lastKey().isRoot()) {
+            return false;
+        }
+        for (Bucket other : shard.keySet()) {
+            if (!other.equals(bucket) && bucket.contains(other)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static int shardOf(String key) {
         return Integer.parseInt(key.substring(Keys.BASE.length(), key.lastIndexOf('/')));
     }
--- a/src/main/java/garnetscale/core/store/StateReplica.java
+++ b/src/main/java/garnetscale/core/store/StateReplica.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.LongStream;
 
 /**
  * A node's copy of what is alive in the state service, as of one revision. It only moves forward: answers that
@@ -218,18 +219,17 @@
         return !inFirstVersion() || !base.isSplit() && ring.newestBeyondFirstLayout() == 0;
     }
 
-    /** Whether some shard takes more pages than given, which the first layout can't write any more, or soon can't. */
+    /** Whether some shard takes more than so many pages, which the first layout can't write any more, or soon can't. */
     public boolean hasOutgrownFirstLayout(int valueBytes, int pages) {
-        if (machines.size() + jobs.size() < WorkLog.SHARDS) {
-            return false;
-        }
-        int bytes = LogWriter.pageBytes(valueBytes);
-        for (int shard = 0; shard < WorkLog.SHARDS; shard++) {
-            if (WorkLog.pages(contents(Bucket.root(shard)), bytes).size() > pages) {
-                return true;
+        long[] bytes = new long[WorkLog.SHARDS];
+        machines.forEach((id, m) -> bytes[Bucket.shardOf(Bucket.hashOfMachine(id))] += WorkLog.size(id, m));
+        jobs.forEach((id, job) -> {
+            for (int i = 0; i < marks.get(id).parts(); i++) {
+                String part = WorkLog.part(id, i);
+                bytes[Bucket.shardOf(Bucket.hashOfPart(part))] += WorkLog.size(part, WorkLog.PART);
             }
-        }
-        return false;
+        });
+        return LongStream.of(bytes).max().orElse(0) > (long) pages * LogWriter.pageBytes(valueBytes);
     }
 
     /** The key of the last entry, or null when there is none. */
@@ -304,7 +304,10 @@
         }
         for (Change c : all) {
             stamps.put(c.key(), c.stamp());
-            if (!reads(c, () -> read(c, entries, bases))) {
+            try {
+                read(c, entries, bases);
+            } catch (RuntimeException e) {
+                refuse(c, e);
                 return;
             }
         }
@@ -333,8 +336,13 @@
     /** Whether the active version, if it is among the changes, is supported: nothing else is looked at before. */
     private boolean canRead(List<Change> changes) {
         for (Change c : changes) {
-            if (c.key().equals(Keys.VERSION) && !reads(c, () -> requireSupported(c))) {
-                return false;
+            if (c.key().equals(Keys.VERSION)) {
+                try {
+                    requireSupported(c);
+                } catch (RuntimeException e) {
+                    refuse(c, e);
+                    return false;
+                }
             }
         }
         return true;
@@ -348,16 +356,10 @@
         }
     }
 
-    /** Reads a record; one that can't be read makes the whole replica one that decides nothing. */
-    private boolean reads(Change c, Runnable reading) {
-        try {
-            reading.run();
-            return true;
-        } catch (RuntimeException e) {
-            unreadable = c.key() + " as of revision " + c.stamp() + ": " + e.getMessage();
-            ledger = -1;
-            return false;
-        }
+    /** A record that can't be read makes the whole replica one that decides nothing. */
+    private void refuse(Change c, RuntimeException cause) {
+        unreadable = c.key() + " as of revision " + c.stamp() + ": " + cause.getMessage();
+        ledger = -1;
     }
 
     /** Applies what a watch brought; false when it was overtaken by a newer answer. */
@@ -371,21 +373,10 @@
         TreeMap<Long, WorkLog.Entry> entries = new TreeMap<>();
         List<String> over = new ArrayList<>();
         for (Change c : log) {
-            // A page of a listing may be newer than the revision that the watch goes on from.
-            if (c.stamp() <= ledger || c.stamp() < stamp(c.key())) {
-                if (c.key().startsWith(Keys.LOG) && c.value() != null && c.stamp() > ledger) {
-                    if (!reads(c, () -> addEntry(c, entries))) {
-                        return true;
-                    }
-                }
-                continue;
-            }
-            if (c.value() == null) {
-                stamps.remove(c.key());
-            } else {
-                stamps.put(c.key(), c.stamp());
-            }
-            if (!reads(c, () -> follow(c, entries, over))) {
+            try {
+                follow(c, entries, over);
+            } catch (RuntimeException e) {
+                refuse(c, e);
                 return true;
             }
         }
@@ -397,6 +388,18 @@
     }
 
     private void follow(Change c, TreeMap<Long, WorkLog.Entry> entries, List<String> over) {
+        // A page of a listing may be newer than the revision that the watch goes on from.
+        if (c.stamp() <= ledger || c.stamp() < stamp(c.key())) {
+            if (c.key().startsWith(Keys.LOG) && c.value() != null && c.stamp() > ledger) {
+                addEntry(c, entries);
+            }
+            return;
+        }
+        if (c.value() == null) {
+            stamps.remove(c.key());
+        } else {
+            stamps.put(c.key(), c.stamp());
+        }
         if (c.key().startsWith(Keys.LOG)) {
             noteEntry(c, entries);
         } else if (c.key().startsWith(Keys.BASE)) {
--- a/src/main/java/garnetscale/core/upgrade/UpgradeCoordinator.java
+++ b/src/main/java/garnetscale/core/upgrade/UpgradeCoordinator.java
@@ -17,6 +17,8 @@
 
     /** Pages of a shard that the first layout can write in one transaction with an entry beside them. */
     private static final int PAGES_IN_FIRST_LAYOUT = 2;
+    /** How often it is looked at who is alive, in the settling time. */
+    private static final int LOOKS = 40;
 
     private final StateReplica replica;
     private final VersionRange own;
@@ -25,6 +27,8 @@
     /** Since when each live process has been seen, by name and incarnation. */
     private final Map<String, Long> since = new HashMap<>();
 
+    private long observedAt = Long.MIN_VALUE / 2;
+
     /**
      * @param own      what this controller supports
      * @param settleMs how long every live controller must have been there before a version is activated
@@ -39,10 +43,15 @@
     /** Forgets who was seen, as when this controller begins to lead. */
     public void clear() {
         since.clear();
+        observedAt = Long.MIN_VALUE / 2;
     }
 
     /** Takes note of who is alive. */
     public void observe(long now) {
+        if (now - observedAt < settleMs / LOOKS) {
+            return;
+        }
+        observedAt = now;
         since.keySet().removeIf(process -> replica.nodes().stream().noneMatch(n -> key(n).equals(process)));
         replica.nodes().forEach(n -> since.putIfAbsent(key(n), now));
     }
--- a/src/test/java/garnetscale/core/store/SplitBaseTest.java
+++ b/src/test/java/garnetscale/core/store/SplitBaseTest.java
@@ -10,8 +10,12 @@
 import garnetscale.core.job.TestJob;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.upgrade.ClusterVersion;
+import garnetscale.core.upgrade.VersionRange;
 import garnetscale.standin.StateLimits;
 import garnetscale.standin.StateModel;
+import garnetscale.wire.Cbor;
+import java.io.IOException;
+import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -57,8 +61,6 @@
 
     /** Writes an entry with the records of some machines, and whatever is due to be folded. */
     private void write(List<String> machines) {
-        LogWriter log = new LogWriter(
-                leader, new LogWriter.Limits(VALUE_BYTES, OPS, leader.version().active(), false));
         Map<String, MachineRecord> records = new LinkedHashMap<>();
         for (String id : machines) {
             List<Placement> placed = new ArrayList<>();
@@ -69,6 +71,13 @@
             }
             records.put(id, new MachineRecord("zone", placed, Map.of("img-07", 3.5, "img-11", 0.25)));
         }
+        commit(records);
+    }
+
+    /** Commits an entry with these records and a task that is finished. */
+    private void commit(Map<String, MachineRecord> records) {
+        LogWriter log = new LogWriter(
+                leader, new LogWriter.Limits(VALUE_BYTES, OPS, leader.version().active(), false));
         int task = random.nextInt(100_000);
         BitSet finished = leader.job("wk-1").finishedSet();
         finished.set(task);
@@ -140,7 +149,18 @@
     void aFleetOfFourThousandIsStoredWithinTheLimitsAndReadAlike() {
         StateReplica follower = new StateReplica();
         follower.reset(state.list(Keys.MIRRORED, null, 1000), state.ledger());
-        fill();
+        for (int i = 0; i < MACHINES; i += MACHINES_IN_ENTRY) {
+            List<String> machines = new ArrayList<>();
+            for (int k = i; k < Math.min(MACHINES, i + MACHINES_IN_ENTRY); k++) {
+                machines.add(machine(k));
+            }
+            write(machines);
+            // What is gone must not come back from a bucket of which only a part was written anew.
+            remove(List.of(machine(random.nextInt(i + 1))));
+            if (i % (10 * MACHINES_IN_ENTRY) == 0) {
+                assertReadAlike("filled up to " + i);
+            }
+        }
         int listings = 0;
         for (int round = 0; round < 12; round++) {
             for (int i = 0; i < 60; i++) {
@@ -295,13 +315,87 @@
     }
 
     private void remove(List<String> machines) {
-        LogWriter log = new LogWriter(
-                leader, new LogWriter.Limits(VALUE_BYTES, OPS, leader.version().active(), false));
         Map<String, MachineRecord> records = new LinkedHashMap<>();
         machines.forEach(id -> records.put(id, MachineRecord.NONE));
-        Txn txn = new Txn();
-        log.write(txn, records, Map.of());
-        assertEquals(200, state.commit(txn), () -> state.oversized().toString());
-        follow(leader);
+        commit(records);
+    }
+
+    /** What the program before stored, kept as the service would list it: read in full, and taken over by the second layout. */
+    @Test
+    void whatTheProgramBeforeStoredIsRead() throws IOException {
+        Map<?, ?> kept;
+        try (InputStream in = SplitBaseTest.class.getResourceAsStream("/layouts/first-layout.cbor")) {
+            kept = Cbor.readMap(in.readAllBytes());
+        }
+        List<Change> stored = new ArrayList<>();
+        for (Object pair : (List<?>) kept.get("pairs")) {
+            Map<?, ?> row = (Map<?, ?>) pair;
+            stored.add(new Change((String) row.get("key"), row.get("v"), ((Number) row.get("stamp")).longValue()));
+        }
+        StateReplica replica = new StateReplica();
+        replica.reset(stored, ((Number) kept.get("ledger")).longValue());
+        assertTrue(replica.loaded(), replica.unreadable());
+        assertEquals(VersionRange.FIRST, replica.node("n0").layouts());
+        Map<?, ?> expected = (Map<?, ?>) kept.get("expected");
+        assertEquals(((Number) expected.get("sequence")).longValue(), replica.sequence());
+        assertEquals(expected.get("placements"), placementsOf(replica));
+        ((Map<?, ?>) expected.get("finished"))
+                .forEach((job, finished) -> assertEquals(
+                        finished, replica.job((String) job).finishedSet().toString()));
+
+        Txn everything = new Txn();
+        stored.forEach(c -> everything.put(c.key(), c.value()));
+        everything.put(Keys.VERSION, Records.version(new ClusterVersion(Layouts.SPLIT_BASE, Layouts.FIRST)));
+        StateModel taken = new StateModel();
+        taken.commit(everything);
+        StateReplica follower = new StateReplica();
+        follower.reset(taken.list(Keys.MIRRORED, null, 100_000), taken.ledger());
+        for (int i = 0; i < 3 * WorkLog.RING; i++) {
+            LogWriter log = new LogWriter(follower, new LogWriter.Limits(VALUE_BYTES, OPS, Layouts.SPLIT_BASE, false));
+            Txn txn = new Txn();
+            log.write(txn, Map.of("m-999999", new MachineRecord("a", List.of(), Map.of("img", (double) i))), Map.of());
+            assertEquals(200, taken.commit(txn));
+            follower.advance(taken.changes(Keys.MIRRORED, follower.ledger()), taken.ledger());
+        }
+        assertEquals(Layouts.SPLIT_BASE, follower.layout());
+        StateReplica fresh = new StateReplica();
+        fresh.reset(taken.list(Keys.MIRRORED, null, 100_000), taken.ledger());
+        Map<String, List<String>> after = placementsOf(fresh);
+        after.remove("m-999999");
+        assertEquals(expected.get("placements"), after);
+    }
+
+    /** A bucket that a listing missed, since it was split while its pages were read, is a hole and not an empty fleet. */
+    @Test
+    void aListingWithoutOneOfTheBucketsIsTorn() {
+        fill();
+        List<Change> all = state.list(Keys.MIRRORED, null, 100_000);
+        List<Change> buckets = all.stream()
+                .filter(c -> c.key().startsWith(Keys.BASE)
+                        && !BaseIndex.bucketOf(c.key()).isRoot())
+                .toList();
+        assertTrue(buckets.size() > WorkLog.SHARDS, buckets.size() + " buckets");
+        int torn = 0;
+        for (Change missed : buckets) {
+            StateReplica replica = new StateReplica();
+            replica.reset(all.stream().filter(c -> c != missed).toList(), state.ledger());
+            // Where an older bucket above it is still stored, the entries since then are needed, and there or missing.
+            boolean isBehind = replica.sequence() < leader.sequence();
+            assertTrue(replica.torn() || isBehind || seen(replica).equals(seen(leader)), "without " + missed.key());
+            torn += replica.torn() ? 1 : 0;
+        }
+        assertTrue(torn > WorkLog.SHARDS, "only " + torn + " were torn");
+    }
+
+    private static Map<String, List<String>> placementsOf(StateReplica replica) {
+        Map<String, List<String>> placements = new TreeMap<>();
+        for (String machine : replica.placedMachines()) {
+            placements.put(
+                    machine,
+                    replica.placements(machine).stream()
+                            .map(p -> p.task() + " " + p.attempt() + " " + p.shift() + " " + p.stop())
+                            .toList());
+        }
+        return placements;
     }
 }
--- a/src/test/java/garnetscale/core/upgrade/UpgradeCoordinatorTest.java
+++ b/src/test/java/garnetscale/core/upgrade/UpgradeCoordinatorTest.java
@@ -35,6 +35,7 @@
     /** The leader sees who is there, and has done so for long enough afterwards. */
     private void settle() {
         cluster.follow(leader);
+        now += LATER;
         leader.upgrades.observe(now);
         now += LATER;
     }
