A loopback cluster of mixed versions: upgrade, rollback, upgrade again, by operators' questions

Need: whole controllers, and not only their cores, go through an upgrade while jobs run. Change: MixedVersionsTest; a leader that is itself limited to the version before is named as what stands in the way, where it called the activation done before.

--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -31,6 +31,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
@@ -227,9 +228,9 @@
         }
     }
 
-    /** Ends all that the node does. */
-    void stop() {
-        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    /** Ends all that the node does; the future tells when it has. */
+    Future<?> stop() {
+        return loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
     // ---- requests
--- a/src/main/java/garnetscale/app/Rehearsal.java
+++ b/src/main/java/garnetscale/app/Rehearsal.java
@@ -101,7 +101,7 @@
      * A port outside the range that systems give out by themselves. From within it, the stand-ins and the controllers' own
      * connections could take the port between this look and the controller that is to listen on it, and a build failed.
      */
-    private static String freePort() throws IOException {
+    static String freePort() throws IOException {
         for (int i = 0; i < PORT_TRIES; i++) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
             try (ServerSocket free = new ServerSocket(port)) {
@@ -113,7 +113,8 @@
         throw new IOException("no free port between " + FIRST_PORT + " and " + LAST_PORT);
     }
 
-    private static String settings(int i, String[] listen, String[] back, String state, String cloud) {
+    /** The settings file of one of the two controllers. */
+    static String settings(int i, String[] listen, String[] back, String state, String cloud) {
         return """
             node_name = "node-%d"
             site = "a"
@@ -217,7 +218,8 @@
         return result.get(5, TimeUnit.SECONDS);
     }
 
-    private static Map<String, Object> job(String id, int tasks, double seconds) {
+    /** A submission as its user sends it. */
+    static Map<String, Object> job(String id, int tasks, double seconds) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("id", id);
         m.put("herd", "try");
--- a/src/main/java/garnetscale/core/upgrade/UpgradeCoordinator.java
+++ b/src/main/java/garnetscale/core/upgrade/UpgradeCoordinator.java
@@ -75,7 +75,9 @@
     private UpgradeDecision activate(long now) {
         ClusterVersion version = replica.version();
         int next = version.active() + 1;
-        if (version.active() >= own.latest()) {
+        boolean isKnown =
+                replica.nodes().stream().anyMatch(node -> node.layouts().contains(next));
+        if (!isKnown) {
             return new UpgradeDecision.Done(version);
         }
         for (NodeInfo node : replica.nodes()) {
--- /dev/null
+++ b/src/test/java/garnetscale/app/MixedVersionsTest.java
@@ -0,0 +1,204 @@
+package garnetscale.app;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import garnetscale.core.Features;
+import garnetscale.core.upgrade.UpgradeStep;
+import garnetscale.core.upgrade.VersionRange;
+import garnetscale.net.HttpClient;
+import garnetscale.net.HttpResult;
+import garnetscale.peer.PeerMessage;
+import garnetscale.peer.PeerMessage.Answer.Outcome;
+import garnetscale.standin.StandIns;
+import garnetscale.wire.Cbor;
+import garnetscale.wire.Trees;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Two whole controllers over loopback sockets, one of them restarted with other ranges of versions, while jobs come and run: an
+ * upgrade, a rollback and an upgrade again, by what operators may ask.
+ */
+class MixedVersionsTest {
+
+    private static final int TIMEOUT_MS = 5000;
+    private static final int WORKER_LEASE_MS = 3000;
+    private static final VersionRange OLD = VersionRange.FIRST;
+    private static final VersionRange NEW = Features.NONE.layouts();
+
+    @TempDir
+    Path dir;
+
+    private final EventLoopGroup loop = new NioEventLoopGroup(1);
+    private final HttpClient http = new HttpClient(loop, 2, 500);
+    private final String[] listen = new String[2];
+    private final String[] back = new String[2];
+    private final Node[] nodes = new Node[2];
+    private final List<String> jobs = new ArrayList<>();
+    private String state;
+    private String cloud;
+
+    private void startOutside() throws IOException {
+        for (int i = 0; i < 2; i++) {
+            listen[i] = Rehearsal.freePort();
+            back[i] = Rehearsal.freePort();
+        }
+        StandIns outside = new StandIns(loop, Map.of("node-0", listen[0], "node-1", listen[1]), 300);
+        state = outside.startState("127.0.0.1:0");
+        cloud = outside.startCloud("127.0.0.1:0");
+        outside.startWorker("m-000001", WORKER_LEASE_MS);
+        outside.startWorker("m-000002", WORKER_LEASE_MS);
+    }
+
+    /** Starts a controller with a program that supports these versions; the one before it ends. */
+    private void start(int i, VersionRange layouts) throws Exception {
+        if (nodes[i] != null) {
+            nodes[i].stop().awaitUninterruptibly();
+        }
+        Path file = dir.resolve("node-" + i + ".toml");
+        Files.writeString(file, Rehearsal.settings(i, listen, back, state, cloud));
+        nodes[i] = new Node(Settings.read(file, new Features(false, 0.5, layouts, Features.NEVER)));
+        nodes[i].start();
+    }
+
+    @AfterEach
+    void stop() {
+        for (Node node : nodes) {
+            if (node != null) {
+                node.stop();
+            }
+        }
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    // ---- operators
+
+    private PeerMessage.Answer ask(int i, PeerMessage.Inquiry.Kind kind, String argument) {
+        try {
+            return new OperatorClient(back[i], TIMEOUT_MS).ask(new PeerMessage.Inquiry(kind, argument));
+        } catch (IOException e) {
+            return new PeerMessage.Answer(Outcome.REFUSED, "{}");
+        }
+    }
+
+    private Map<?, ?> status(int i) {
+        return tree(ask(i, PeerMessage.Inquiry.Kind.STATUS, ""));
+    }
+
+    private static Map<?, ?> tree(PeerMessage.Answer answer) {
+        try (JsonParser parser = new JsonFactory().createParser(answer.json())) {
+            return (Map<?, ?>) Trees.read(parser);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Asks a controller until it shows what is waited for; the test's time limit ends it otherwise. */
+    private void await(int i, Predicate<Map<?, ?>> shown) {
+        Map<?, ?> status = status(i);
+        while (!shown.test(status)) {
+            status = status(i);
+        }
+    }
+
+    /** Asks both controllers for a step until the leader among them calls it done. */
+    private void awaitDone(UpgradeStep step) {
+        await(step, answer -> answer.outcome() == Outcome.DONE);
+    }
+
+    private void await(UpgradeStep step, Predicate<PeerMessage.Answer> wanted) {
+        for (int i = 0; ; i = 1 - i) {
+            if (wanted.test(ask(i, PeerMessage.Inquiry.Kind.UPGRADE, step.name()))) {
+                return;
+            }
+        }
+    }
+
+    private static boolean isComplete(Map<?, ?> status) {
+        return Boolean.TRUE.equals(status.get("complete"));
+    }
+
+    private static Object active(Map<?, ?> status) {
+        return status.get("version") instanceof Map<?, ?> version ? version.get("active") : null;
+    }
+
+    // ---- users
+
+    private HttpResult call(int i, HttpMethod method, String path, byte[] body) {
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        loop.next().execute(() -> http.call(listen[i], method, path, body, TIMEOUT_MS, result::complete));
+        return result.join();
+    }
+
+    /** A user submits a job, to either controller, until one takes it. */
+    private void submit() {
+        String id = String.format("wk-%06d", jobs.size() + 1);
+        jobs.add(id);
+        byte[] body = Cbor.write(Rehearsal.job(id, 3, 0.3));
+        HttpResult taken = call(0, HttpMethod.POST, "/v2/runs", body);
+        for (int i = 1; !taken.is(201) && !taken.is(200); i = 1 - i) {
+            taken = call(i, HttpMethod.POST, "/v2/runs", body);
+        }
+    }
+
+    private void awaitJobs() throws IOException {
+        for (String id : jobs) {
+            Object mood = null;
+            for (int i = 0; !"done".equals(mood); i = 1 - i) {
+                HttpResult r = call(i, HttpMethod.GET, "/v2/runs/" + id, null);
+                assertTrue(!r.is(404), id + " is forgotten");
+                mood = r.is(200) ? Cbor.readMap(r.body()).get("mood") : mood;
+            }
+        }
+    }
+
+    @Test
+    @Timeout(120)
+    void upgradesRollsBackAndUpgradesAgain() throws Exception {
+        startOutside();
+        start(0, NEW);
+        start(1, OLD);
+        submit();
+        await(UpgradeStep.ACTIVATE, answer -> answer.json().contains("controller node-1 supports 1 to 1 and not 2"));
+        start(1, NEW);
+        submit();
+        awaitDone(UpgradeStep.ACTIVATE);
+        await(0, status -> Integer.valueOf(2).equals(active(status)));
+
+        // Rolled back alone, a controller stands aside and says so, and the other one serves.
+        start(1, OLD);
+        await(1, status -> status.containsKey("unreadable"));
+        assertFalse(call(1, HttpMethod.GET, "/ready", null).is(200), "it takes no users");
+        submit();
+        awaitJobs();
+        awaitDone(UpgradeStep.DEACTIVATE);
+        await(1, status -> isComplete(status) && Integer.valueOf(1).equals(active(status)));
+        submit();
+        awaitJobs();
+
+        start(1, NEW);
+        awaitDone(UpgradeStep.ACTIVATE);
+        awaitDone(UpgradeStep.FINALIZE);
+        await(UpgradeStep.DEACTIVATE, answer -> answer.json().contains("version 2 is finalized"));
+        submit();
+        awaitJobs();
+        await(1, status -> isComplete(status) && Integer.valueOf(2).equals(active(status)));
+    }
+}
