--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -1,7 +1,5 @@
 package garnetscale.core.lead;
 
-import com.google.common.collect.HashMultiset;
-import com.google.common.collect.Multiset;
 import garnetscale.core.Params;
 import garnetscale.core.bid.Auction;
 import garnetscale.core.bid.Bid;
@@ -11,9 +9,7 @@
 import garnetscale.core.block.BlockLease;
 import garnetscale.core.block.Blocks;
 import garnetscale.core.block.LeaderInfo;
-import garnetscale.core.block.NodeInfo;
 import garnetscale.core.block.Observation;
-import garnetscale.core.block.Terms;
 import garnetscale.core.job.Priority;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.line.JobOrder;
@@ -36,7 +32,6 @@
 import garnetscale.core.upgrade.UpgradeStep;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -68,7 +63,6 @@
 
     private final Params params;
     private final StateReplica replica;
-    private final Blocks blocks;
     private final Auction auction;
     private Set<String> lateJobs = Set.of();
     private long preemptAt = Long.MIN_VALUE / 2;
@@ -88,19 +82,10 @@
     /** Machines that the cloud says are gone for good. */
     private final Set<String> dead = new HashSet<>();
 
-    private final Map<String, Long> nodeSince = new HashMap<>();
     private final Failures failures = new Failures();
     private boolean suspectNews;
-    /** Nodes that this one can't speak with, since when; only a reason to act sooner, never a proof. */
-    private final Map<String, Long> suspects = new HashMap<>();
-    /** The process that each suspicion was of, and when one last turned out to be wrong. */
-    private final Map<String, Long> suspectedAs = new HashMap<>();
-
-    private final Map<String, Long> falseAlarms = new HashMap<>();
-    /** Nodes that say that no worker reaches them. */
-    private final Set<String> deafNodes = new HashSet<>();
-    /** When a block was last moved because none of its machines was heard of. */
-    private final Map<String, Long> movedAt = new HashMap<>();
+    private final PeerHealth health;
+    private final BlockAssignment assignment;
 
     private long notBefore = Long.MIN_VALUE;
     private long leaderSeenAt;
@@ -114,13 +99,13 @@
     /** The step that an operator asked for and that can be carried out. */
     private UpgradeStep requested;
 
-    private int blockSequence;
     private long wallOffset;
 
     public Leader(Params params, StateReplica replica, Blocks blocks, Consumer<String> log) {
         this.params = params;
         this.replica = replica;
-        this.blocks = blocks;
+        this.health = new PeerHealth(params, replica, log);
+        this.assignment = new BlockAssignment(params, replica, blocks, health, machines.values(), log);
         this.log = log;
         this.order = new JobOrder(params);
         this.estimator = new Estimator(params.reportMs());
@@ -165,13 +150,11 @@
             attempts.begin(term);
             upgrades.clear();
             requested = null;
-            blockSequence = 0;
             machines.clear();
             exits.clear();
             gone.clear();
             dead.clear();
-            nodeSince.clear();
-            movedAt.clear();
+            assignment.begin(now);
             stoppedOnce.clear();
             auction.clear();
             log.accept("leads under term " + term);
@@ -181,24 +164,12 @@
 
     /** A node's process seems to be down, or is heard of again. */
     public void suspect(long now, String node, boolean down) {
-        boolean news = down ? suspects.putIfAbsent(node, now) == null : suspects.remove(node) != null;
-        NodeInfo info = replica.node(node);
-        if (news && down) {
-            suspectedAs.put(node, info == null ? -1 : info.incarnation());
-        } else if (news && info != null && info.incarnation() == suspectedAs.get(node)) {
-            // It is the same process: not down, but a link that fails, and may do so again.
-            falseAlarms.put(node, now);
-        }
-        if (news) {
-            log.accept("node " + node + (down ? " seems to be down" : " is heard of again"));
-        }
+        health.suspect(now, node, down);
     }
 
     /** A node says whether workers reach it. */
     public void hears(String node, boolean deaf) {
-        if (deaf ? deafNodes.add(node) : deafNodes.remove(node)) {
-            log.accept("node " + node + (deaf ? " hears no worker" : " hears workers again"));
-        }
+        health.hears(node, deaf);
     }
 
     /** The numbers of the attempts that it places. */
@@ -211,8 +182,7 @@
      * makes room for one that may do better; one whose term has no numbers left needs a new term, its own or another's.
      */
     public Txn resignation(long now) {
-        if (attempts.isNearlyUsedUp()
-                || blockSequence >= Terms.MOST_BLOCK_TERMS - blocks.all().size()) {
+        if (attempts.isNearlyUsedUp() || assignment.isNearlyUsedUp()) {
             log.accept("steps down: the numbers of term " + acting.term() + " are used up");
             return stepDown();
         }
@@ -248,20 +218,10 @@
             leaderSeenAt = now;
         }
         if (l == null
-                || !deafNodes.contains(l.node())
-                        && (suspectsAll()
-                                || now - falseAlarms.getOrDefault(l.node(), Long.MIN_VALUE / 2)
-                                        < 8 * params.nodeTtlMs())) {
+                || !health.isDeaf(l.node()) && (health.suspectsAll() || health.wasFalselySuspected(now, l.node()))) {
             return false;
         }
-        return suspects.containsKey(l.node())
-                && now - suspects.get(l.node()) < params.nodeTtlMs()
-                && now - leaderSeenAt > 4 * params.nodeTtlMs();
-    }
-
-    private boolean suspectsAll() {
-        int others = params.members().size() - 1;
-        return others > 1 && suspects.size() >= others;
+        return health.isFreshlySuspected(now, l.node()) && now - leaderSeenAt > 4 * params.nodeTtlMs();
     }
 
     /**
@@ -355,7 +315,7 @@
         if (upgrade != null) {
             return upgrade;
         }
-        Txn leases = leaseBlocks(now);
+        Txn leases = assignment.plan(now, acting.term());
         if (leases != null) {
             return leases;
         }
@@ -735,128 +695,4 @@
     public Set<String> suspects() {
         return failures.suspects();
     }
-
-    /** Leases blocks whose holder is gone, and moves a block home when its zone has an idle controller again. */
-    private Txn leaseBlocks(long now) {
-        nodeSince.keySet().removeIf(n -> replica.nodes().stream().noneMatch(i -> key(i).equals(n)));
-        replica.nodes().forEach(n -> nodeSince.putIfAbsent(key(n), now));
-        Multiset<String> load = HashMultiset.create();
-        Map<String, String> deafHolder = new HashMap<>();
-        List<String> orphans = new ArrayList<>();
-        for (String block : blocks.all()) {
-            BlockLease lease = replica.block(block);
-            if (lease != null && alive(lease) && (isDeaf(now, block) || isDeaf(lease.holder()))) {
-                movedAt.put(block, now);
-                deafHolder.put(block, lease.holder());
-                orphans.add(block);
-            } else if (lease != null && alive(lease)) {
-                load.add(lease.holder());
-            } else {
-                orphans.add(block);
-            }
-        }
-        if (orphans.isEmpty()) {
-            String moved = blockToMove(now, load);
-            if (moved != null) {
-                orphans.add(moved);
-            }
-        }
-        Txn txn = new Txn().guard(Keys.LEADER, replica.stamp(Keys.LEADER));
-        for (String block : orphans) {
-            NodeInfo best = null;
-            for (NodeInfo n : replica.nodes()) {
-                if (suspects.containsKey(n.name())
-                        || n.name().equals(deafHolder.get(block))
-                        || isDeaf(n.name())
-                        || !canRead(n)) {
-                    continue;
-                }
-                if (best == null || cost(n, block, load) < cost(best, block, load)) {
-                    best = n;
-                }
-            }
-            if (best != null && txn.ops().size() < params.txnOps()) {
-                load.add(best.name());
-                long term = Terms.blockTerm(acting.term(), ++blockSequence);
-                txn.put(Keys.block(block), Records.block(new BlockLease(best.name(), best.incarnation(), term)));
-                log.accept("block " + block + " goes to " + best.name() + " under term " + term);
-            }
-        }
-        return txn.ops().isEmpty() ? null : txn;
-    }
-
-    /** A holder that says so itself is believed at once, as long as another one may do better. */
-    private boolean isDeaf(String node) {
-        return deafNodes.contains(node)
-                && replica.nodes().stream()
-                        .anyMatch(n -> !deafNodes.contains(n.name()) && !suspects.containsKey(n.name()));
-    }
-
-    /**
-     * Whether the holder hears none of the block's machines, which are several: it may be cut off from the workers
-     * while the state service and its peers still reach it.
-     */
-    private boolean isDeaf(long now, String block) {
-        int silent = 0;
-        for (MachineState m : machines.values()) {
-            if (m.last.block().equals(block)) {
-                if (!m.last.silent()) {
-                    return false;
-                }
-                silent++;
-            }
-        }
-        return silent > 1
-                && replica.nodes().size() > 1
-                && now - movedAt.getOrDefault(block, actingSince) > 2 * params.nodeTtlMs() + 4 * params.reportMs();
-    }
-
-    private String blockToMove(long now, Multiset<String> load) {
-        for (NodeInfo n : replica.nodes()) {
-            if (load.contains(n.name())
-                    || suspects.containsKey(n.name())
-                    || deafNodes.contains(n.name())
-                    || !canRead(n)
-                    || now - nodeSince.get(key(n)) < 2 * params.nodeTtlMs()
-                    || now - actingSince < 2 * params.nodeTtlMs()) {
-                continue;
-            }
-            for (String block : blocks.all()) {
-                BlockLease lease = replica.block(block);
-                if (now - movedAt.getOrDefault(block, Long.MIN_VALUE / 2) < 8 * params.nodeTtlMs()) {
-                    continue;
-                }
-                boolean crowded = load.count(lease.holder()) > 1;
-                if (Blocks.zoneOf(block).equals(n.zone())
-                        && (crowded || !zone(lease.holder()).equals(n.zone()))) {
-                    load.remove(lease.holder());
-                    return block;
-                }
-            }
-        }
-        return null;
-    }
-
-    private String zone(String node) {
-        NodeInfo n = replica.node(node);
-        return n == null ? "" : n.zone();
-    }
-
-    private static int cost(NodeInfo n, String block, Multiset<String> load) {
-        return 2 * load.count(n.name()) + (n.zone().equals(Blocks.zoneOf(block)) ? 0 : 1);
-    }
-
-    private static String key(NodeInfo n) {
-        return n.name() + "#" + n.incarnation();
-    }
-
-    private boolean alive(BlockLease lease) {
-        NodeInfo n = replica.node(lease.holder());
-        return n != null && n.incarnation() == lease.incarnation() && !suspects.containsKey(n.name()) && canRead(n);
-    }
-
-    /** Whether a controller can read what is stored; one that can't decides nothing, and so can't hold a block. */
-    private boolean canRead(NodeInfo n) {
-        return n.layouts().contains(Math.max(replica.layout(), replica.version().active()));
-    }
 }
--- a/src/main/java/garnetscale/core/store/LogWriter.java
+++ b/src/main/java/garnetscale/core/store/LogWriter.java
@@ -51,9 +51,9 @@
         boolean isSplit = replica.layout() >= Layouts.SPLIT_BASE;
         if (limits.layout() < Layouts.SPLIT_BASE && isSplit) {
             convert(due, pageBytes, opLimit);
-        } else if (limits.layout() >= Layouts.SPLIT_BASE && limits.splitsAny() && !isSplit) {
+        } else if (limits.layout() >= Layouts.SPLIT_BASE && limits.splitsAny() && !isSplit && !replica.logFull()) {
             foldInParts(replica.base().oldest(), pageBytes, opLimit, true);
-        } else if (due != null && limits.layout() >= Layouts.SPLIT_BASE) {
+        } else if (due != null && limits.layout() >= Layouts.SPLIT_BASE && (isSplit || !replica.logFull())) {
             foldInParts(due, pageBytes, opLimit, false);
         } else if (due != null) {
             foldWhole(due.bucket(), pageBytes);
@@ -62,7 +62,8 @@
         this.splitsFirst = replica.layout() < Layouts.SPLIT_BASE
                 && puts.keySet().stream()
                         .anyMatch(key -> !BaseIndex.bucketOf(key).isRoot());
-        // A shard that has grown beyond the ordinary leaves less for the entry, or nothing at all this time.
+        // The first split needs an entry, and so a log that isn't full. A shard that has grown beyond the ordinary
+        // leaves less for the entry, or nothing at all this time.
         this.left = replica.logFull() ? 0 : Math.min(pageBytes, TXN_BYTES - ASIDE - puts.size() * pageBytes);
     }
 
@@ -215,6 +216,9 @@
         String key = replica.nextEntryKey();
         txn.guard(key, replica.stamp(key));
         if (!machines.isEmpty() || splitsFirst) {
+            if (replica.logFull()) {
+                throw new IllegalStateException("entry over one that the base doesn't hold, under " + key);
+            }
             txn.put(key, WorkLog.value(entry(machines, parts)));
         }
         puts.forEach(txn::put);
