--- a/src/main/java/garnetscale/core/store/LogWriter.java
+++ b/src/main/java/garnetscale/core/store/LogWriter.java
@@ -74,7 +74,7 @@
 
     /**
      * Back from layout 2 to layout 1: a shard is written as a root again where it and the removal of its buckets fit into a
-     * transaction; else two halves are joined. What is due to be folded goes first, and what can't be joined yet is folded as
+     * transaction; else two halves are joined. A shard that isn't split is folded as ever. What is due to be folded goes first, and what can't be joined yet is folded as
      * it is, so that the ring doesn't run full meanwhile.
      */
     private void convert(BaseIndex.Region due, int pageBytes, int opLimit) {
@@ -83,7 +83,8 @@
         Bucket root = Bucket.root(shard);
         List<WorkLog.Contents> pages = WorkLog.pages(replica.contents(root), pageBytes);
         List<Bucket> stored = base.storedIn(shard);
-        if (pages.size() <= pageLimit(pageBytes) && stored.size() <= opLimit) {
+        boolean isWhole = stored.stream().allMatch(Bucket::isRoot);
+        if (isWhole || pages.size() <= pageLimit(pageBytes) && stored.size() <= opLimit) {
             foldWhole(root, pageBytes);
             stored.stream().filter(bucket -> !bucket.isRoot()).forEach(bucket -> deletePages(bucket, 0));
         } else if (!join(shard, pageBytes) && due != null) {
--- /dev/null
+++ b/src/test/java/garnetscale/app/ManualIo.java
@@ -0,0 +1,57 @@
+package garnetscale.app;
+
+import garnetscale.net.HttpResult;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Keeps what a {@link StateLink} asks until the test answers it, and its timers until the test runs them. */
+final class ManualIo implements StateLink.Io {
+
+    private static final long LONG_ENOUGH_MS = 10_000;
+
+    /** A request that isn't answered yet. */
+    record Call(String path, byte[] body, Consumer<HttpResult> done) {}
+
+    final List<Call> calls = new ArrayList<>();
+    long now = 1_000_000;
+    private List<Runnable> timers = new ArrayList<>();
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public void after(long ms, Runnable run) {
+        timers.add(run);
+    }
+
+    @Override
+    public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Consumer<HttpResult> done) {
+        calls.add(new Call(path, body, done));
+    }
+
+    /** The first request whose path begins so; there must be one. */
+    Call take(String start) {
+        Call first = calls.stream()
+                .filter(c -> c.path().startsWith(start))
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("nothing asked for " + start + ": " + calls));
+        calls.remove(first);
+        return first;
+    }
+
+    boolean isAsked(String start) {
+        return calls.stream().anyMatch(c -> c.path().startsWith(start));
+    }
+
+    /** Has every timer that was set fire once. */
+    void runTimers() {
+        now += LONG_ENOUGH_MS;
+        List<Runnable> due = timers;
+        timers = new ArrayList<>();
+        due.forEach(Runnable::run);
+    }
+}
--- a/src/test/java/garnetscale/app/StateLinkRelistTest.java
+++ b/src/test/java/garnetscale/app/StateLinkRelistTest.java
@@ -9,12 +9,10 @@
 import garnetscale.core.store.StateReplica;
 import garnetscale.net.HttpResult;
 import garnetscale.wire.Cbor;
-import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -28,43 +26,6 @@
     private static final long LISTED = 10;
     private static final long LISTED_ANEW = 900;
 
-    private record Call(String path, Consumer<HttpResult> done) {}
-
-    /** Keeps what is asked until the test answers it; timers never run by themselves. */
-    private static final class ManualIo implements StateLink.Io {
-        private final List<Call> calls = new ArrayList<>();
-        private final List<Runnable> timers = new ArrayList<>();
-        private long now = 1_000_000;
-
-        @Override
-        public long now() {
-            return now;
-        }
-
-        @Override
-        public void after(long ms, Runnable run) {
-            timers.add(run);
-        }
-
-        @Override
-        public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Consumer<HttpResult> done) {
-            calls.add(new Call(path, done));
-        }
-
-        private Call take(String start) {
-            Call first = calls.stream()
-                    .filter(c -> c.path().startsWith(start))
-                    .findFirst()
-                    .orElseThrow(() -> new AssertionError("nothing asked for " + start + ": " + calls));
-            calls.remove(first);
-            return first;
-        }
-
-        private boolean isAsked(String start) {
-            return calls.stream().anyMatch(c -> c.path().startsWith(start));
-        }
-    }
-
     private static final class Confirmations implements StateLink.Listener {
         private final List<Long> sentAt = new ArrayList<>();
 
@@ -117,7 +78,7 @@
     @Test
     void anOlderWatchDoesNotConfirmAReplicaThatIsListedAnew() {
         StateLink link = started();
-        Call watch = io.take("/follow");
+        ManualIo.Call watch = io.take("/follow");
         assertEquals(List.of(1_000_000L), confirmations.sentAt, "by the listing");
 
         io.now += 100;
--- a/src/test/java/garnetscale/app/StateLinkVersionTest.java
+++ b/src/test/java/garnetscale/app/StateLinkVersionTest.java
@@ -15,14 +15,12 @@
 import garnetscale.core.upgrade.VersionRange;
 import garnetscale.net.HttpResult;
 import garnetscale.wire.Cbor;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /** Every change is guarded by the active version; a controller that doesn't support it stands aside until it is back. */
@@ -30,50 +28,6 @@
 
     private static final long STAMP = 7;
 
-    private record Call(String path, byte[] body, Consumer<HttpResult> done) {}
-
-    /** Keeps what is asked until the test answers it, and timers until the test runs them. */
-    private static final class ManualIo implements StateLink.Io {
-        private final List<Call> calls = new ArrayList<>();
-        private List<Runnable> timers = new ArrayList<>();
-        private long now = 1_000_000;
-
-        @Override
-        public long now() {
-            return now;
-        }
-
-        @Override
-        public void after(long ms, Runnable run) {
-            timers.add(run);
-        }
-
-        @Override
-        public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Consumer<HttpResult> done) {
-            calls.add(new Call(path, body, done));
-        }
-
-        private Call take(String start) {
-            Call first = calls.stream()
-                    .filter(c -> c.path().startsWith(start))
-                    .findFirst()
-                    .orElseThrow(() -> new AssertionError("nothing asked for " + start + ": " + calls));
-            calls.remove(first);
-            return first;
-        }
-
-        private boolean isAsked(String start) {
-            return calls.stream().anyMatch(c -> c.path().startsWith(start));
-        }
-
-        private void runTimers() {
-            now += 10_000;
-            List<Runnable> due = timers;
-            timers = new ArrayList<>();
-            due.forEach(Runnable::run);
-        }
-    }
-
     private static final class Silent implements StateLink.Listener {
         @Override
         public void advanced() {
@@ -114,7 +68,7 @@
         io.take("/keys?").done().accept(ok(Map.of("pairs", pairs, "has_next", false, "ledger", 10)));
     }
 
-    private static Map<?, ?> guards(Call call) throws IOException {
+    private static Map<?, ?> guards(ManualIo.Call call) throws IOException {
         Map<Object, Object> guards = new HashMap<>();
         for (Object guard : (List<?>) Cbor.readMap(call.body()).get("guards")) {
             guards.put(((Map<?, ?>) guard).get("key"), ((Number) ((Map<?, ?>) guard).get("stamp")).longValue());
