--- a/src/main/java/garnetscale/app/FeaturesFile.java
+++ b/src/main/java/garnetscale/app/FeaturesFile.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import garnetscale.core.Features;
+import garnetscale.core.balance.BalanceSettings;
 import garnetscale.core.store.Layouts;
 import garnetscale.core.upgrade.VersionRange;
 import garnetscale.wire.Trees;
@@ -27,6 +28,8 @@
     private static final double MOST_SETTLE = 100;
     private static final double LEAST_FROM = 0.5;
     private static final double FROM = 0.95;
+    private static final double MOST_MARGIN = 10;
+    private static final double MOST_MOVING = 0.25;
 
     private final Map<?, ?> root;
     private final Set<Object> known = new HashSet<>();
@@ -57,6 +60,7 @@
         boolean shared = sharedSockets.isEnabled();
         double from = sharedSockets.number("from", LEAST_FROM, 1, FROM);
         sharedSockets.end();
+        BalanceSettings balance = balance();
         for (Object name : root.keySet()) {
             if (!known.contains(name)) {
                 faults.add(name + " is no feature; there are " + String.join(", ", sortedNames()));
@@ -66,7 +70,16 @@
             throw new Settings.Faults(faults);
         }
         VersionRange layouts = new VersionRange(Layouts.SUPPORTED.oldest(), latest);
-        return new Features(automatic, settle, layouts, shared ? from : Features.NEVER);
+        return new Features(automatic, settle, layouts, shared ? from : Features.NEVER, balance);
+    }
+
+    private BalanceSettings balance() {
+        Table table = table("balance");
+        boolean enabled = table.isEnabled();
+        double margin = table.number("margin", 0, MOST_MARGIN, BalanceSettings.MARGIN);
+        double moving = table.number("moving", 0, MOST_MOVING, BalanceSettings.MOVING);
+        table.end();
+        return enabled ? new BalanceSettings(true, margin, moving) : BalanceSettings.OFF;
     }
 
     private List<String> sortedNames() {
--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -378,7 +378,7 @@
             if (before == null || now() - before.at() < 2 * HEARTBEAT_MS) {
                 leader.suspect(now(), h.node(), false);
             }
-            leader.hears(h.node(), h.deaf());
+            leader.hears(now(), h.node(), h.deaf());
             if (h.leaderTerm() >= 0 && (before == null || before.last().leaderTerm() != h.leaderTerm())) {
                 holder.resynchronize(now());
                 queueWork();
@@ -444,7 +444,7 @@
                 deaf = holder.deaf();
                 LOG.info(
                         deaf ? "no worker reaches this node: it gives up its blocks" : "workers reach this node again");
-                leader.hears(params.self(), deaf);
+                leader.hears(now(), params.self(), deaf);
                 peers.sendAll(heartbeat());
             }
             profile.run(EventLoopProfile.Role.LEADER, () -> lead(now));
--- a/src/main/java/garnetscale/core/Features.java
+++ b/src/main/java/garnetscale/core/Features.java
@@ -1,5 +1,6 @@
 package garnetscale.core;
 
+import garnetscale.core.balance.BalanceSettings;
 import garnetscale.core.store.Layouts;
 import garnetscale.core.upgrade.VersionRange;
 
@@ -12,8 +13,14 @@
  * @param layouts           the versions of what is stored that this controller takes part in
  * @param sharedSocketsFrom the share of sockets in use from which workers give theirs back after each answer;
  *     {@link #NEVER} to let them keep theirs
+ * @param balance           load balancing
  */
-public record Features(boolean activatesWhenNeeded, double settle, VersionRange layouts, double sharedSocketsFrom) {
+public record Features(
+        boolean activatesWhenNeeded,
+        double settle,
+        VersionRange layouts,
+        double sharedSocketsFrom,
+        BalanceSettings balance) {
 
     /** No share of sockets is as large as this. */
     public static final double NEVER = Double.POSITIVE_INFINITY;
@@ -22,5 +29,5 @@
     public static final double SETTLE = 2;
 
     /** Everything off. */
-    public static final Features NONE = new Features(false, SETTLE, Layouts.SUPPORTED, NEVER);
+    public static final Features NONE = new Features(false, SETTLE, Layouts.SUPPORTED, NEVER, BalanceSettings.OFF);
 }
--- /dev/null
+++ b/src/main/java/garnetscale/core/balance/LoadTracker.java
@@ -0,0 +1,82 @@
+package garnetscale.core.balance;
+
+import java.util.Set;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/** Keeps the load of the fleet up to date machine by machine. A change costs the same in a fleet of any size. */
+public final class LoadTracker {
+
+    private final double timeConstantMs;
+    private PMap<String, MachineLoad> machines = HashTreePMap.empty();
+    private PMap<MachineGroup, GroupLoad> groups = HashTreePMap.empty();
+
+    /** {@code timeConstantMs}: after so long a lasting change has reached 63% of a group's smoothed utilization. */
+    public LoadTracker(double timeConstantMs) {
+        this.timeConstantMs = timeConstantMs;
+    }
+
+    /** Forgets everything. */
+    public void clear() {
+        machines = HashTreePMap.empty();
+        groups = HashTreePMap.empty();
+    }
+
+    /** Takes what a machine adds from now on. */
+    public void update(long now, String machine, MachineLoad load) {
+        MachineLoad before = machines.get(machine);
+        if (load.equals(before)) {
+            return;
+        }
+        machines = machines.plus(machine, load);
+        if (before != null && before.group().equals(load.group())) {
+            GroupLoad group = groups.get(load.group());
+            GroupTotals totals = group.totals().minus(before).plus(load);
+            groups = groups.plus(load.group(), group.withTotals(now, totals, timeConstantMs));
+            return;
+        }
+        if (before != null) {
+            subtract(now, before);
+        }
+        groups = groups.plus(load.group(), plus(now, groups.get(load.group()), load));
+    }
+
+    private GroupLoad plus(long now, GroupLoad group, MachineLoad load) {
+        if (group == null) {
+            GroupTotals totals = GroupTotals.EMPTY.plus(load);
+            return new GroupLoad(totals, totals.utilization(), now);
+        }
+        return group.withTotals(now, group.totals().plus(load), timeConstantMs);
+    }
+
+    private void subtract(long now, MachineLoad load) {
+        GroupLoad group = groups.get(load.group());
+        GroupTotals totals = group.totals().minus(load);
+        groups = totals.machines() == 0
+                ? groups.minus(load.group())
+                : groups.plus(load.group(), group.withTotals(now, totals, timeConstantMs));
+    }
+
+    /** Forgets all machines but these. */
+    public void retain(long now, Set<String> present) {
+        if (machines.size() == present.size() && present.containsAll(machines.keySet())) {
+            return;
+        }
+        for (String machine : machines.keySet()) {
+            if (!present.contains(machine)) {
+                remove(now, machine);
+            }
+        }
+    }
+
+    private void remove(long now, String machine) {
+        MachineLoad before = machines.get(machine);
+        machines = machines.minus(machine);
+        subtract(now, before);
+    }
+
+    /** The picture at this moment. */
+    public LoadSnapshot snapshot(long now, Demand demand) {
+        return new LoadSnapshot(now, timeConstantMs, machines, groups, demand);
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/balance/MovePlanner.java
@@ -0,0 +1,298 @@
+package garnetscale.core.balance;
+
+import garnetscale.core.bid.LateBids;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.line.JobQueue;
+import garnetscale.core.machine.FreeCapacity;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Decides which running tasks to move. A task is stopped only where that gains more than it disrupts by the margin, and only
+ * while another machine bids for it. There are two reasons:
+ *
+ * <ul>
+ *   <li>a job of higher priority finds no room on any machine that it fits, and the task runs on one of those while a machine
+ *       that the job doesn't fit bids for the task;
+ *   <li>the task runs on a slow machine, and a late bid is much better (the paper's DSP 4c, by i and i0).
+ * </ul>
+ *
+ * Gain and disruption are CPU-seconds of waiting. The same input yields the same plan.
+ */
+public final class MovePlanner {
+
+    /** Jobs that room is made for in a pass, from the head of the line: where they find none, those behind won't either. */
+    private static final int MOST_JOBS = 4;
+    /** A group that is fuller than this on average isn't moved into: room there is about to be needed. */
+    private static final double MOST_UTILIZATION = 0.8;
+
+    private static final double MILLIS = 1000;
+
+    /** What the planner decides from. */
+    public record Input(
+            long now,
+            LoadSnapshot load,
+            List<WaitingJob> waiting,
+            List<SourceMachine> machines,
+            Map<String, List<Offer>> offers) {}
+
+    /** A task to stop, with the offer that it is stopped for and what that costs. */
+    private record Stop(RunningTask task, Offer offer, double disruptionCpuS) {
+
+        static Stop of(RunningTask task, Offer offer) {
+            double delayS = Math.max(0, endsElsewhereS(task, offer) - task.remainingS());
+            return new Stop(task, offer, delayS * task.job().cpus());
+        }
+    }
+
+    /** What to stop on a machine so that one task more of a job fits there. */
+    private record Clearance(SourceMachine machine, List<Stop> stops) {
+
+        double disruptionCpuS() {
+            return stops.stream().mapToDouble(Stop::disruptionCpuS).sum();
+        }
+
+        double stopS() {
+            return stops.stream().mapToDouble(stop -> stop.task().stopS()).max().orElse(0);
+        }
+
+        /** What the job gains by the room, if it would otherwise get some after so many seconds. */
+        double gainCpuS(JobSpec job, double releaseS) {
+            return Math.max(0, releaseS - stopS()) * job.cpus();
+        }
+    }
+
+    private final double margin;
+    private final Input input;
+    private final MoveBudget budget;
+    private final OpenOffers offers;
+    private final List<Move> moves = new ArrayList<>();
+
+    private MovePlanner(double margin, Input input, MoveBudget budget) {
+        this.margin = margin;
+        this.input = input;
+        this.budget = budget;
+        this.offers = new OpenOffers(input.offers());
+    }
+
+    /** The moves to make now, counted in the budget; {@code margin} is that of {@link BalanceSettings}. */
+    public static List<Move> plan(double margin, Input input, MoveBudget budget) {
+        MovePlanner planner = new MovePlanner(margin, input, budget);
+        input.waiting().stream().limit(MOST_JOBS).forEach(planner::makeRoom);
+        input.machines().stream().filter(SourceMachine::slow).forEach(planner::leaveSlow);
+        return List.copyOf(planner.moves);
+    }
+
+    // ---- room for a waiting job
+
+    private void makeRoom(WaitingJob waiting) {
+        JobSpec job = waiting.job();
+        List<SourceMachine> fitting =
+                input.machines().stream().filter(machine -> fits(machine, job)).toList();
+        int missing = waiting.tasks();
+        for (SourceMachine machine : fitting) {
+            int slots = Math.min(missing, machine.free().slots(job));
+            // Room that is there or on its way is this job's: it isn't offered to the next one again.
+            machine.free().take(job, slots);
+            missing -= slots;
+        }
+        if (missing <= 0) {
+            return;
+        }
+        double[] releases = fitting.stream()
+                .mapToDouble(machine -> releaseS(machine, job))
+                .filter(Double::isFinite)
+                .sorted()
+                .toArray();
+        List<Clearance> clearances = new ArrayList<>();
+        Map<String, Optional<Offer>> destinations = new HashMap<>();
+        for (SourceMachine machine : fitting) {
+            Clearance clearance = clearance(machine, job, destinations);
+            if (clearance != null) {
+                clearances.add(clearance);
+            }
+        }
+        clearances.sort(Comparator.comparingDouble(Clearance::disruptionCpuS)
+                .thenComparing(clearance -> clearance.machine().machine()));
+        int cleared = 0;
+        for (Clearance clearance : clearances) {
+            if (cleared >= Math.min(missing, releases.length)) {
+                return;
+            }
+            cleared += carryOut(clearance, job, releases[cleared]) ? 1 : 0;
+        }
+    }
+
+    private static boolean fits(SourceMachine machine, JobSpec job) {
+        return JobQueue.allows(machine.type(), machine.group().zone(), machine.spot(), job);
+    }
+
+    /** Seconds until a task of the job fits on the machine without any move; infinite where it never will. */
+    private static double releaseS(SourceMachine machine, JobSpec job) {
+        FreeCapacity free = machine.free().copy();
+        List<RunningTask> byEnd = new ArrayList<>(machine.tasks());
+        byEnd.sort(Comparator.comparingDouble(RunningTask::remainingS));
+        for (RunningTask task : byEnd) {
+            free.giveBack(task.job());
+            if (free.fits(job)) {
+                return task.remainingS();
+            }
+        }
+        return Double.POSITIVE_INFINITY;
+    }
+
+    /** The cheapest stops that make room for one task of the job, or null where there are none. */
+    private Clearance clearance(SourceMachine machine, JobSpec job, Map<String, Optional<Offer>> destinations) {
+        if (!input.load().isKnown(machine.group())) {
+            return null;
+        }
+        List<Stop> candidates = new ArrayList<>();
+        for (RunningTask task : machine.tasks()) {
+            if (task.job().priority().compareTo(job.priority()) > 0 && mayMove(task)) {
+                destinations
+                        .computeIfAbsent(
+                                task.job().id(), id -> Optional.ofNullable(destination(task.job(), job, List.of())))
+                        .ifPresent(offer -> candidates.add(Stop.of(task, offer)));
+            }
+        }
+        candidates.sort(Comparator.comparingDouble(Stop::disruptionCpuS)
+                .thenComparing(stop -> stop.task().attempt()));
+        FreeCapacity free = machine.free().copy();
+        List<Stop> chosen = new ArrayList<>();
+        for (Stop stop : candidates) {
+            chosen.add(stop);
+            free.giveBack(stop.task().job());
+            if (free.fits(job)) {
+                return new Clearance(machine, chosen);
+            }
+        }
+        return null;
+    }
+
+    private boolean mayMove(RunningTask task) {
+        return task.movable()
+                && !budget.isPaying(input.now(), task.task())
+                && moves.stream().noneMatch(move -> move.attempt() == task.attempt());
+    }
+
+    /**
+     * The best offer for a task of a job from a machine that the waiting job doesn't fit, or null; {@code reserved}: stops that
+     * the same room is made by, and that go somewhere, too.
+     */
+    private Offer destination(JobSpec job, JobSpec waiting, List<Stop> reserved) {
+        return offers.best(
+                job.id(),
+                offer -> isKnown(offer)
+                        && !offer.fits(waiting)
+                        && input.load().utilization(offer.group()) <= MOST_UTILIZATION
+                        && budget.hasRoomAt(
+                                input.now(), offer.group(), cpusTo(offer.group(), reserved), job.cpus(), input.load()));
+    }
+
+    private static double cpusTo(MachineGroup group, List<Stop> stops) {
+        return stops.stream()
+                .filter(stop -> stop.offer().group().equals(group))
+                .mapToDouble(stop -> stop.task().job().cpus())
+                .sum();
+    }
+
+    private boolean isKnown(Offer offer) {
+        return input.load().isKnown(offer.machine()) && input.load().isKnown(offer.group());
+    }
+
+    /** Seconds until the task would be finished if it were stopped now: stop, fetch, and what of its run isn't saved. */
+    private static double endsElsewhereS(RunningTask task, Offer offer) {
+        return task.stopS() + Math.max(0, offer.finishS() - task.savedS());
+    }
+
+    /** Makes the moves if there is an offer for each and they are still worth it; several may have to share one offer's room. */
+    private boolean carryOut(Clearance cheapest, JobSpec job, double releaseS) {
+        List<Stop> reserved = new ArrayList<>();
+        for (Stop stop : cheapest.stops()) {
+            Offer offer = destination(stop.task().job(), job, reserved);
+            if (offer == null) {
+                break;
+            }
+            offers.take(offer);
+            reserved.add(Stop.of(stop.task(), offer));
+        }
+        Clearance clearance = new Clearance(cheapest.machine(), reserved);
+        if (reserved.size() < cheapest.stops().size() || !accept(clearance, job, releaseS)) {
+            reserved.forEach(stop -> offers.giveBack(stop.offer()));
+            return false;
+        }
+        reserved.forEach(stop -> clearance.machine().free().giveBack(stop.task().job()));
+        clearance.machine().free().take(job);
+        return true;
+    }
+
+    private boolean accept(Clearance clearance, JobSpec job, double releaseS) {
+        double gain = clearance.gainCpuS(job, releaseS);
+        double disruption = clearance.disruptionCpuS();
+        if (gain <= (1 + margin) * disruption) {
+            return false;
+        }
+        double paybackS = clearance.stopS() + disruption / job.cpus();
+        int count = clearance.stops().size();
+        List<Move> together = new ArrayList<>();
+        for (Stop stop : clearance.stops()) {
+            together.add(move(clearance.machine(), stop, job.id(), gain / count, paybackS));
+        }
+        return accept(together);
+    }
+
+    // ---- a slow machine
+
+    private void leaveSlow(SourceMachine machine) {
+        if (!input.load().isKnown(machine.group())) {
+            return;
+        }
+        for (RunningTask task : machine.tasks()) {
+            Offer offer = mayMove(task)
+                    ? offers.best(task.job().id(), candidate -> isKnown(candidate) && !candidate.slow())
+                    : null;
+            if (offer == null) {
+                continue;
+            }
+            double elsewhereS = endsElsewhereS(task, offer);
+            double savedCpuS = (task.remainingS() - elsewhereS) * task.job().cpus();
+            boolean isBetter =
+                    LateBids.accepts(task.remainingS(), elsewhereS) && task.remainingS() > (1 + margin) * elsewhereS;
+            Stop stop = new Stop(task, offer, elsewhereS * task.job().cpus());
+            if (isBetter && accept(List.of(move(machine, stop, null, savedCpuS, elsewhereS)))) {
+                offers.take(offer);
+            }
+        }
+    }
+
+    // ---- both
+
+    private static Move move(SourceMachine machine, Stop stop, String beneficiary, double gain, double paybackS) {
+        JobSpec job = stop.task().job();
+        return new Move(
+                stop.task().task(),
+                stop.task().attempt(),
+                job.team(),
+                job.cpus(),
+                machine.machine(),
+                machine.group(),
+                stop.offer().group(),
+                beneficiary,
+                gain,
+                stop.disruptionCpuS(),
+                (long) Math.ceil(paybackS * MILLIS));
+    }
+
+    private boolean accept(List<Move> together) {
+        if (!budget.allows(input.now(), together, input.load())) {
+            return false;
+        }
+        together.forEach(move -> budget.add(input.now(), move));
+        moves.addAll(together);
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetscale/core/balance/SpreadOrder.java
@@ -0,0 +1,79 @@
+package garnetscale.core.balance;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongFunction;
+
+/**
+ * Orders equal bids so that the group that is least utilised comes first. What goes to a group counts at once: many tasks of
+ * one job are spread, and don't all follow to the group that was the emptiest when the first was placed.
+ */
+public final class SpreadOrder {
+
+    private final LoadSnapshot load;
+    private final Map<MachineGroup, Double> addedCpus = new LinkedHashMap<>();
+
+    public SpreadOrder(LoadSnapshot load) {
+        this.load = load;
+    }
+
+    /**
+     * Reorders runs of bids of the same rank; runs, and bids of one group within a run, keep their order.
+     *
+     * @param rank equal for bids that count as equal, and never falling along the list
+     * @param cpus that go to the bidder if it wins all that it bids for
+     */
+    public <T> List<T> spread(
+            List<T> bids, ToLongFunction<T> rank, Function<T, MachineGroup> group, ToDoubleFunction<T> cpus) {
+        List<T> ordered = new ArrayList<>(bids.size());
+        int from = 0;
+        while (from < bids.size()) {
+            int to = from + 1;
+            while (to < bids.size() && rank.applyAsLong(bids.get(to)) == rank.applyAsLong(bids.get(from))) {
+                to++;
+            }
+            interleave(bids.subList(from, to), group, cpus, ordered);
+            from = to;
+        }
+        return ordered;
+    }
+
+    private <T> void interleave(
+            List<T> equal, Function<T, MachineGroup> group, ToDoubleFunction<T> cpus, List<T> ordered) {
+        Map<MachineGroup, Deque<T>> queues = new LinkedHashMap<>();
+        equal.forEach(bid -> queues.computeIfAbsent(group.apply(bid), key -> new ArrayDeque<>())
+                .add(bid));
+        while (!queues.isEmpty()) {
+            MachineGroup least = leastUtilized(queues);
+            Deque<T> queue = queues.get(least);
+            T bid = queue.removeFirst();
+            addedCpus.merge(least, cpus.applyAsDouble(bid), Double::sum);
+            ordered.add(bid);
+            if (queue.isEmpty()) {
+                queues.remove(least);
+            }
+        }
+    }
+
+    private MachineGroup leastUtilized(Map<MachineGroup, ?> queues) {
+        MachineGroup least = null;
+        for (MachineGroup group : queues.keySet()) {
+            if (least == null || projected(group) < projected(least)) {
+                least = group;
+            }
+        }
+        return least;
+    }
+
+    private double projected(MachineGroup group) {
+        double capacity = load.capacityCpus(group);
+        double added = addedCpus.getOrDefault(group, 0.0);
+        return capacity <= 0 ? 1 : load.utilization(group) + added / capacity;
+    }
+}
--- a/src/main/java/garnetscale/core/bid/Estimator.java
+++ b/src/main/java/garnetscale/core/bid/Estimator.java
@@ -96,6 +96,11 @@
                 : Math.exp(sum[0] / sum[1]);
     }
 
+    /** The estimated run time of a task of the job, in seconds, on a machine like most. */
+    public double runS(JobSpec job) {
+        return expectedS(job);
+    }
+
     /** The estimated run time of a task of the job on the machine. */
     public double runS(JobSpec job, String machine) {
         return runS(job, machineFactor(machine));
--- a/src/main/java/garnetscale/core/lead/Awards.java
+++ b/src/main/java/garnetscale/core/lead/Awards.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.HashMultiset;
 import com.google.common.collect.Multiset;
+import garnetscale.core.balance.LoadSnapshot;
+import garnetscale.core.balance.SpreadOrder;
 import garnetscale.core.bid.Auction;
 import garnetscale.core.bid.Bid;
 import garnetscale.core.job.JobSpec;
@@ -38,6 +40,7 @@
     private final JobOrder order;
     private final Reserve reserve;
     private final FreeCapacityCache counted;
+    private final LoadSnapshot load;
     private final Map<String, FreeCapacity> capacities = new HashMap<>();
     /** Whether the block's holder has bid, asked once a draft: there are thousands of bids and a handful of blocks. */
     private final Map<String, Boolean> spokenFor = new HashMap<>();
@@ -51,8 +54,10 @@
             int perMachine,
             JobOrder order,
             Reserve reserve,
-            FreeCapacityCache counted) {
+            FreeCapacityCache counted,
+            LoadSnapshot load) {
         this.counted = counted;
+        this.load = load;
         this.replica = replica;
         this.auction = auction;
         this.machines = machines;
@@ -156,7 +161,7 @@
         long[] keys = new long[usable.size()];
         for (int i = 0; i < keys.length; i++) {
             Candidate c = usable.get(i);
-            long rank = 2 * Math.round(c.bid().finishS()) + (c.machine().last.spot() ? 0 : 1);
+            long rank = rank(c);
             long tenths = Math.min((1 << TENTHS_BITS) - 1, Math.round(c.bid().finishS() * 10));
             keys[i] = (rank << TENTHS_BITS | tenths) << PLACE_BITS | i;
         }
@@ -165,7 +170,23 @@
         for (long key : keys) {
             ranked.add(usable.get((int) (key & (1 << PLACE_BITS) - 1)));
         }
-        return ranked;
+        return load.groups().size() < 2 ? ranked : spread(ranked, job);
+    }
+
+    /** Orders equals by their groups' load. */
+    private List<Candidate> spread(List<Candidate> ranked, JobSpec job) {
+        return new SpreadOrder(load)
+                .spread(
+                        ranked,
+                        candidate -> rank(candidate),
+                        candidate -> LoadObserver.groupOf(candidate.machine()),
+                        candidate -> candidate.bid().slots() * job.cpus());
+    }
+
+    /** Equal for bids that count as equal: whole seconds of the finish, spot machines before others. */
+    private static long rank(Candidate candidate) {
+        return 2 * Math.round(candidate.bid().finishS())
+                + (candidate.machine().last.spot() ? 0 : 1);
     }
 
     private boolean usable(long now, MachineState m, Bid bid) {
--- /dev/null
+++ b/src/main/java/garnetscale/core/lead/Balancer.java
@@ -0,0 +1,324 @@
+package garnetscale.core.lead;
+
+import garnetscale.core.Params;
+import garnetscale.core.balance.BalanceSettings;
+import garnetscale.core.balance.LoadSnapshot;
+import garnetscale.core.balance.MachineGroup;
+import garnetscale.core.balance.Move;
+import garnetscale.core.balance.MoveBudget;
+import garnetscale.core.balance.MovePlanner;
+import garnetscale.core.balance.Offer;
+import garnetscale.core.balance.RunningTask;
+import garnetscale.core.balance.SourceMachine;
+import garnetscale.core.balance.WaitingJob;
+import garnetscale.core.bid.Auction;
+import garnetscale.core.bid.Bid;
+import garnetscale.core.bid.Estimator;
+import garnetscale.core.job.JobSpec;
+import garnetscale.core.job.Priority;
+import garnetscale.core.line.JobOrder;
+import garnetscale.core.line.JobQueue;
+import garnetscale.core.machine.FreeCapacity;
+import garnetscale.core.machine.MachineType;
+import garnetscale.core.machine.Placement;
+import garnetscale.core.store.JobView;
+import garnetscale.core.store.StateReplica;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Carries out load balancing for the leader: turns its view into the planner's input, and the plan into stops of the draft. It
+ * stops tasks and nothing else; where they start again is up to the bids.
+ */
+final class Balancer {
+
+    /** A start counts for its user's aims once it wasn't stopped for so long [PROTOCOL, "How aims are counted"]. */
+    private static final double START_COUNTS_S = 30;
+    /** A save may take longer than its job says. */
+    private static final double SAVE_SLACK = 1.5;
+
+    private static final double MILLIS = 1000;
+
+    private final Params params;
+    private final BalanceSettings settings;
+    private final StateReplica replica;
+    private final Auction auction;
+    private final Estimator estimator;
+    private final JobOrder order;
+    private final Failures failures;
+    private final Map<String, MachineState> machines;
+    private final Consumer<String> log;
+    private final LoadObserver observer;
+    private final MoveBudget budget;
+    private final Set<String> mustStartSoon = new HashSet<>();
+    private Set<String> wanted = Set.of();
+    private long dueAt = Long.MIN_VALUE / 2;
+
+    Balancer(
+            Params params,
+            StateReplica replica,
+            Auction auction,
+            Estimator estimator,
+            JobOrder order,
+            Failures failures,
+            Map<String, MachineState> machines,
+            Consumer<String> log) {
+        this.params = params;
+        this.settings = params.features().balance();
+        this.replica = replica;
+        this.auction = auction;
+        this.estimator = estimator;
+        this.order = order;
+        this.failures = failures;
+        this.machines = machines;
+        this.log = log;
+        this.observer = new LoadObserver(params, replica, auction, estimator);
+        this.budget = new MoveBudget(settings.moving(), params.leaseMs());
+        for (Params.Objective objective : params.objectives()) {
+            if (objective.kind().equals("wait")) {
+                mustStartSoon.add(objective.jobClass());
+            }
+        }
+    }
+
+    /** A new leadership begins. */
+    void begin(long now) {
+        observer.clear();
+        budget.begin(now);
+        wanted = Set.of();
+        dueAt = now;
+    }
+
+    /** A controller gave a sign of life. */
+    void heard(long now, String node) {
+        observer.heard(now, node);
+    }
+
+    /** The load of the fleet as of the last pass; empty while load balancing is off. */
+    LoadSnapshot load() {
+        return observer.snapshot();
+    }
+
+    /** Jobs with tasks that might move, for which late bids are wanted. */
+    Set<String> wanted() {
+        return wanted;
+    }
+
+    /** Moves that were decided within the budget's window. */
+    List<Move> recent() {
+        return budget.recent();
+    }
+
+    /** Takes back what was decided in a transaction that wasn't applied; called before each draft. */
+    void settle() {
+        for (Move move : budget.settle(this::isUnchanged)) {
+            log.accept("task " + move.task() + " is moved from " + move.machine() + " (" + move.from() + "), for "
+                    + (move.beneficiary() == null ? "an earlier end" : "job " + move.beneficiary())
+                    + "; a bid from " + move.to() + " gains " + Math.round(move.gainCpuS()) + " CPU-s for "
+                    + Math.round(move.disruptionCpuS()));
+        }
+    }
+
+    private boolean isUnchanged(Move move) {
+        return replica.placements(move.machine()).stream()
+                .anyMatch(
+                        placement -> placement.attempt() == move.attempt() && placement.stop() == Placement.Stop.KEEP);
+    }
+
+    /** Updates the picture and plans moves, once in a report interval. */
+    void plan(Turn turn) {
+        if (!settings.enabled() || turn.now() < dueAt) {
+            return;
+        }
+        dueAt = turn.now() + params.reportMs();
+        LoadSnapshot load = observer.update(turn);
+        wanted = Set.of();
+        if (budget.isQuiet(turn.now())) {
+            return;
+        }
+        List<WaitingJob> waiting = waitingForRoom(turn);
+        boolean hasSlow = turn.machines().stream().anyMatch(this::isSlow);
+        if (waiting.isEmpty() && !hasSlow) {
+            return;
+        }
+        List<SourceMachine> sources = sources(turn, load);
+        wanted = movableJobs(waiting, sources);
+        if (wanted.isEmpty()) {
+            return;
+        }
+        budget.observe(turn.now(), placed(turn), stopping(turn));
+        MovePlanner.Input input = new MovePlanner.Input(turn.now(), load, waiting, sources, offers(turn));
+        for (Move move : MovePlanner.plan(settings.margin(), input, budget)) {
+            stop(turn, move);
+        }
+    }
+
+    private void stop(Turn turn, Move move) {
+        for (Placement placement : turn.draft().placements(move.machine())) {
+            if (placement.attempt() == move.attempt() && turn.draft().hasRoom(false)) {
+                JobView job = replica.job(placement.task().job());
+                Placement.Stop how = job.spec().savesProgress() ? Placement.Stop.SAVE : Placement.Stop.NOW;
+                turn.draft().stop(move.machine(), placement, how);
+                return;
+            }
+        }
+    }
+
+    // ---- who waits
+
+    /** Jobs for which no machine bids although they have waited for a report interval, and work of lower priority is placed. */
+    private List<WaitingJob> waitingForRoom(Turn turn) {
+        Priority lowest = null;
+        for (JobView job : replica.jobs()) {
+            Priority priority = job.spec().priority();
+            if (job.live() && job.placedCount() > 0 && (lowest == null || priority.compareTo(lowest) > 0)) {
+                lowest = priority;
+            }
+        }
+        List<WaitingJob> found = new ArrayList<>();
+        if (lowest == null) {
+            return found;
+        }
+        for (JobView job : JobQueue.sort(replica.jobs(), order, turn.wallMs())) {
+            int tasks = job.unstarted() - turn.draft().awarded(job.spec().id());
+            if (tasks > 0 && job.spec().priority().compareTo(lowest) < 0 && findsNoRoom(turn, job)) {
+                found.add(new WaitingJob(job.spec(), tasks));
+            }
+        }
+        return found;
+    }
+
+    private boolean findsNoRoom(Turn turn, JobView job) {
+        return turn.wallMs() - job.job().submittedMs() >= params.reportMs()
+                && auction.bids(job.spec().id()).isEmpty()
+                && !failures.isSuspect(job.spec().id())
+                && turn.draft().quota().allows(job.spec());
+    }
+
+    // ---- what runs where
+
+    private boolean isSlow(MachineState machine) {
+        return !machine.condemned && estimator.machineFactor(machine.id) > 1;
+    }
+
+    private List<SourceMachine> sources(Turn turn, LoadSnapshot load) {
+        List<SourceMachine> sources = new ArrayList<>();
+        for (MachineState machine : turn.machines()) {
+            if (load.isKnown(machine.id) && load.machines().get(machine.id).serving()) {
+                sources.add(source(turn, machine));
+            }
+        }
+        return sources;
+    }
+
+    private SourceMachine source(Turn turn, MachineState machine) {
+        MachineType type = replica.type(machine.last.type());
+        FreeCapacity free = new FreeCapacity(type);
+        List<RunningTask> tasks = new ArrayList<>();
+        for (Placement placement : turn.draft().placements(machine.id)) {
+            JobView job = replica.job(placement.task().job());
+            if (job != null && placement.stop() == Placement.Stop.KEEP) {
+                free.take(job.spec());
+                tasks.add(task(turn.now(), machine, placement, job));
+            }
+        }
+        return new SourceMachine(
+                machine.id, LoadObserver.groupOf(machine), type, machine.last.spot(), isSlow(machine), free, tasks);
+    }
+
+    private RunningTask task(long now, MachineState machine, Placement placement, JobView job) {
+        JobSpec spec = job.spec();
+        Long since = machine.runningSince.get(placement.attempt());
+        double ranS = since == null ? 0 : (now - since) / MILLIS;
+        double remainingS =
+                since == null ? estimator.runS(spec, machine.id) : estimator.remainingS(spec, machine.id, ranS);
+        double savedS = spec.savesProgress() ? ranS : 0;
+        boolean isStartPending = mustStartSoon.contains(spec.jobClass()) && ranS < START_COUNTS_S;
+        return new RunningTask(
+                placement.task(),
+                placement.attempt(),
+                spec,
+                remainingS,
+                savedS,
+                stopS(spec),
+                job.live() && !isStartPending);
+    }
+
+    /** Until a stop that is decided now has freed the room: the holder's command, the save, and the report that proves it. */
+    private double stopS(JobSpec job) {
+        double saving = job.savesProgress() ? job.saveS() * SAVE_SLACK + 1 : 0;
+        return saving + params.reportMs() / MILLIS;
+    }
+
+    /** Jobs with a task that could leave room to one that waits, or a slow machine. */
+    private static Set<String> movableJobs(List<WaitingJob> waiting, List<SourceMachine> sources) {
+        Set<String> jobs = new HashSet<>();
+        for (SourceMachine machine : sources) {
+            List<WaitingJob> fitting = waiting.stream()
+                    .filter(job ->
+                            JobQueue.allows(machine.type(), machine.group().zone(), machine.spot(), job.job()))
+                    .toList();
+            for (RunningTask task : machine.tasks()) {
+                Priority priority = task.job().priority();
+                boolean makesRoom =
+                        fitting.stream().anyMatch(job -> job.job().priority().compareTo(priority) < 0);
+                if (task.movable() && (makesRoom || machine.slow())) {
+                    jobs.add(task.job().id());
+                }
+            }
+        }
+        return jobs;
+    }
+
+    private int placed(Turn turn) {
+        return turn.machines().stream()
+                .mapToInt(machine -> turn.draft().placements(machine.id).size())
+                .sum();
+    }
+
+    private int stopping(Turn turn) {
+        return (int) turn.machines().stream()
+                .flatMap(machine -> turn.draft().placements(machine.id).stream())
+                .filter(placement -> placement.stop() != Placement.Stop.KEEP)
+                .count();
+    }
+
+    // ---- who bids
+
+    private Map<String, List<Offer>> offers(Turn turn) {
+        Map<String, List<Offer>> offers = new HashMap<>();
+        for (String job : wanted) {
+            List<Offer> ofJob = new ArrayList<>();
+            for (Bid bid : auction.bids(job)) {
+                MachineState machine = machines.get(bid.machine());
+                if (machine != null && isUsable(turn.now(), machine, bid)) {
+                    MachineGroup group = LoadObserver.groupOf(machine);
+                    ofJob.add(new Offer(
+                            machine.id,
+                            group,
+                            replica.type(group.type()),
+                            machine.last.spot(),
+                            isSlow(machine),
+                            bid.slots(),
+                            bid.finishS()));
+                }
+            }
+            offers.put(job, ofJob);
+        }
+        return offers;
+    }
+
+    private boolean isUsable(long now, MachineState machine, Bid bid) {
+        return replica.type(machine.last.type()) != null
+                && !machine.last.silent()
+                && machine.last.noticeS() == null
+                && machine.last.shift() == bid.shift()
+                && now >= machine.avoidUntil
+                && !machine.condemned;
+    }
+}
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -1,19 +1,17 @@
 package garnetscale.core.lead;
 
 import garnetscale.core.Params;
+import garnetscale.core.balance.LoadSnapshot;
+import garnetscale.core.balance.Move;
 import garnetscale.core.bid.Auction;
-import garnetscale.core.bid.Bid;
 import garnetscale.core.bid.BidBatch;
 import garnetscale.core.bid.Estimator;
-import garnetscale.core.bid.LateBids;
 import garnetscale.core.block.BlockLease;
 import garnetscale.core.block.Blocks;
 import garnetscale.core.block.LeaderInfo;
 import garnetscale.core.block.Observation;
-import garnetscale.core.job.Priority;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.line.JobOrder;
-import garnetscale.core.line.JobQueue;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.machine.ReportedTask;
@@ -37,6 +35,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.agrona.collections.Long2ObjectHashMap;
 
@@ -52,12 +51,6 @@
     /** Tasks of jobs that succeed elsewhere that fail on a machine in a row before it is given back. */
     private static final int SICK = 4;
 
-    /** Jobs at the head that others are stopped for at a time: where they find nobody, those behind won't either. */
-    private static final int PREEMPTED_FOR = 4;
-
-    /** Estimates are rough: a task is given up for lost only when it would need this many times what is left. */
-    private static final double SURELY = 1.3;
-
     /** What a holder says of an attempt, under a block's term; {@code task} is null when it is gone without an exit. */
     private record Exit(String machine, String block, long term, long attempt, ReportedTask task) {}
 
@@ -65,11 +58,7 @@
     private final StateReplica replica;
     private final Auction auction;
     private Set<String> lateJobs = Set.of();
-    private long preemptAt = Long.MIN_VALUE / 2;
     private long judgedAt = Long.MIN_VALUE / 2;
-    /** Tasks that made room for others once. */
-    private final Set<TaskId> stoppedOnce = new HashSet<>();
-
     private final JobOrder order;
     private final Estimator estimator;
     private final Reserve reserve;
@@ -94,6 +83,10 @@
     private LeaderInfo acting;
     private long actingSince;
     private final AttemptNumbers attempts = new AttemptNumbers();
+    private final DrainStops drainStops;
+    private final PreemptionStops preemptionStops;
+    private final LateBidStops lateBidStops;
+    private final Balancer balancer;
     private final UpgradeCoordinator upgrades;
     private long upgradeCheckedAt = Long.MIN_VALUE / 2;
     /** The step that an operator asked for and that can be carried out. */
@@ -112,6 +105,10 @@
         this.reserve = new Reserve(params);
         this.capacities = new FreeCapacityCache(replica);
         this.auction = new Auction(replica, params.windowMs());
+        this.drainStops = new DrainStops(replica, estimator, params.reportMs(), log);
+        this.preemptionStops = new PreemptionStops(params, replica, auction, estimator, order, reserve, failures, log);
+        this.lateBidStops = new LateBidStops(replica, auction, estimator, machines, log);
+        this.balancer = new Balancer(params, replica, auction, estimator, order, failures, machines, log);
         this.upgrades =
                 new UpgradeCoordinator(replica, params.features().layouts(), params.settleMs(), params.valueBytes());
     }
@@ -155,8 +152,9 @@
             gone.clear();
             dead.clear();
             assignment.begin(now);
-            stoppedOnce.clear();
+            preemptionStops.clear();
             auction.clear();
+            balancer.begin(now);
             log.accept("leads under term " + term);
         }
         return true;
@@ -168,8 +166,19 @@
     }
 
     /** A node says whether workers reach it. */
-    public void hears(String node, boolean deaf) {
+    public void hears(long now, String node, boolean deaf) {
         health.hears(node, deaf);
+        balancer.heard(now, node);
+    }
+
+    /** The load of the fleet as of the last pass of load balancing; empty for a node that doesn't lead, or while that is off. */
+    public LoadSnapshot load() {
+        return acting == null ? LoadSnapshot.EMPTY : balancer.load();
+    }
+
+    /** Tasks that this leader moved lately, oldest first; see {@link Move}. */
+    public List<Move> recentMoves() {
+        return acting == null ? List.of() : balancer.recent();
     }
 
     /** The numbers of the attempts that it places. */
@@ -262,6 +271,7 @@
         if (acting == null || lease == null || lease.term() != o.term() || lease.incarnation() != o.incarnation()) {
             return;
         }
+        balancer.heard(now, o.node());
         for (long attempt : o.gone()) {
             gone.put(attempt, new Exit(o.machine(), o.block(), o.term(), attempt, null));
         }
@@ -311,6 +321,7 @@
         if (!leads(now)) {
             return null;
         }
+        balancer.settle();
         Txn upgrade = upgradeDue(now);
         if (upgrade != null) {
             return upgrade;
@@ -324,18 +335,14 @@
         settle(now, draft);
         int perMachine = Math.max(8, params.valueBytes() / 64);
         int before = attempts.given();
-        new Awards(replica, auction, machines, perMachine, order, reserve, capacities)
+        new Awards(replica, auction, machines, perMachine, order, reserve, capacities, balancer.load())
                 .award(now, now + wallOffset, draft, failures, attempts::next);
         if (now - judgedAt >= params.reportMs() / 2) {
             judgedAt = now;
             forgetSilent(now);
             judgeSpeed(now);
         }
-        drain(now, draft);
-        preempt(now, draft, attempts.given() == before);
-        if (attempts.given() == before) {
-            restartLate(now, draft);
-        }
+        planStops(new Turn(now, now + wallOffset, machines.values(), draft), attempts.given() == before);
         for (JobView job : replica.jobs()) {
             if (!job.live() && job.placedCount() == 0 && draft.hasRoomForEnd()) {
                 draft.archiveCancelled(job);
@@ -344,6 +351,16 @@
         return draft.isEmpty() ? null : draft.toTxn();
     }
 
+    /** Stops tasks for whatever reason there is; {@code awardedNothing}: nothing was placed in this turn. */
+    private void planStops(Turn turn, boolean awardedNothing) {
+        drainStops.plan(turn);
+        preemptionStops.plan(turn, awardedNothing);
+        if (awardedNothing) {
+            lateBidStops.plan(turn);
+        }
+        balancer.plan(turn);
+    }
+
     /** What the active version allows a transaction to hold. */
     private LogWriter.Limits logLimits() {
         ClusterVersion version = replica.version();
@@ -421,69 +438,11 @@
         }
     }
 
-    /**
-     * Moves work off machines that the cloud takes away: what can save does so while there is time, what would not
-     * be finished starts again elsewhere at once, and what will be finished is left to.
-     */
-    private void drain(long now, Draft draft) {
-        for (MachineState m : machines.values()) {
-            if (m.last.noticeS() == null || m.last.silent()) {
-                continue;
-            }
-            double left = m.last.noticeS() - (now - m.seen) / 1000.0;
-            for (Placement p : replica.placements(m.id)) {
-                JobView job = replica.job(p.task().job());
-                if (job == null || !job.live() || p.stop() != Placement.Stop.KEEP || !draft.hasRoom(false)) {
-                    continue;
-                }
-                Long since = m.runningSince.get(p.attempt());
-                double remaining = since == null
-                        ? estimator.runS(job.spec(), m.id)
-                        : estimator.remainingS(job.spec(), m.id, (now - since) / 1000.0);
-                double saving = job.spec().saveS() * 1.5 + 1 + params.reportMs() / 1000.0;
-                if (remaining > left * SURELY && (!job.spec().savesProgress() || left < 2 * saving)) {
-                    draft.stop(
-                            m.id,
-                            p,
-                            job.spec().savesProgress() && left > job.spec().saveS()
-                                    ? Placement.Stop.SAVE
-                                    : Placement.Stop.NOW);
-                    log.accept("task " + p.task() + " is stopped on " + m.id + ", which is taken in " + Math.round(left)
-                            + " s");
-                }
-            }
-        }
-    }
-
-    /** Restarts tasks of slow machines for which a late bid is much better; the stop must be confirmed first. */
-    private void restartLate(long now, Draft draft) {
-        for (MachineState m : machines.values()) {
-            if (!m.condemned || m.last.silent()) {
-                continue;
-            }
-            for (Placement p : replica.placements(m.id)) {
-                Long since = m.runningSince.get(p.attempt());
-                JobView job = replica.job(p.task().job());
-                if (since == null || job == null || !job.live() || p.stop() != Placement.Stop.KEEP) {
-                    continue;
-                }
-                double earlier = estimator.remainingS(job.spec(), m.id, (now - since) / 1000.0);
-                Bid b = auction.best(job.spec().id(), bid -> {
-                    MachineState other = machines.get(bid.machine());
-                    return other != null && !other.condemned && now >= other.avoidUntil;
-                });
-                if (b != null && LateBids.accepts(earlier, b.finishS()) && draft.hasRoom(false)) {
-                    draft.stop(m.id, p, job.spec().savesProgress() ? Placement.Stop.SAVE : Placement.Stop.NOW);
-                    log.accept("task " + p.task() + " is stopped on " + m.id + ": a late bid of " + b.machine()
-                            + " is better by " + Math.round(100 * LateBids.improvement(earlier, b.finishS())) + "%");
-                }
-            }
-        }
-    }
-
     /** Started jobs for which late bids are wanted. */
     public List<String> lateJobs() {
-        return List.copyOf(lateJobs);
+        Set<String> jobs = new TreeSet<>(lateJobs);
+        jobs.addAll(balancer.wanted());
+        return List.copyOf(jobs);
     }
 
     /** Machines to be given back, with nothing on them any more. */
@@ -497,56 +456,6 @@
         return ids;
     }
 
-    /**
-     * Stops are for those who find no room: for jobs that must start at once, for work within a guarantee, for which what
-     * others borrow is given back, and for any work where idle work, of the lowest priority, has the room. In a turn that
-     * awarded something only idle work is reason to look: other work loses more by it than the wait for room costs.
-     */
-    private void preempt(long now, Draft draft, boolean idleTurn) {
-        if (now < preemptAt) {
-            return;
-        }
-        boolean idle =
-                replica.jobs().stream().anyMatch(j -> j.spec().priority() == Priority.LOW && j.placedCount() > 0);
-        if (!idle && !idleTurn) {
-            return;
-        }
-        preemptAt = now + (idle ? params.windowMs() : params.windowMs() / 2);
-        int looked = 0;
-        boolean found = false;
-        Preemption preemption = null;
-        for (JobView job : JobQueue.sort(replica.jobs(), order, now + wallOffset)) {
-            boolean tight = idleTurn && reserve.isTight(job);
-            int waiting = job.unstarted() - draft.awarded(job.spec().id());
-            boolean guaranteed = draft.quota().guarantees(job.spec());
-            boolean open =
-                    !auction.closed(now, job) && !auction.bids(job.spec().id()).isEmpty();
-            if (waiting <= 0
-                    || !tight && !guaranteed && !idle
-                    || open
-                    || failures.isSuspect(job.spec().id())
-                    || !draft.quota().allows(job.spec())) {
-                continue;
-            }
-            if (looked++ >= PREEMPTED_FOR) {
-                break;
-            }
-            if (preemption == null) {
-                preemption = new Preemption(replica, machines.values(), estimator, stoppedOnce, draft, now);
-            }
-            int stopped = preemption.makeRoom(job, waiting, tight, guaranteed);
-            if (stopped > 0) {
-                log.accept("stops " + stopped + " less urgent tasks for job "
-                        + job.spec().id() + " of team " + job.spec().team());
-                found = true;
-            }
-        }
-        if (looked > 0 && !found) {
-            // A full fleet without anybody to stop: it was gone over for nothing, and soon would be again.
-            preemptAt = now + (idle ? 4 : 2) * params.windowMs();
-        }
-    }
-
     /** Milliseconds until planning again may lead to something without any news, or -1. */
     public long nextPlan(long now) {
         return auction.nextClose(now);
@@ -598,7 +507,7 @@
             }
             draft.forget(machine);
         }
-        stoppedOnce.removeIf(t -> replica.job(t.job()) == null);
+        preemptionStops.forgetEnded();
         failures.retain(job -> replica.job(job) != null);
     }
 
--- /dev/null
+++ b/src/main/java/garnetscale/core/lead/Turn.java
@@ -0,0 +1,13 @@
+package garnetscale.core.lead;
+
+import java.util.Collection;
+
+/**
+ * What the parts of one plan share.
+ *
+ * @param now      milliseconds of the steady clock
+ * @param wallMs   the time of day, which job records carry
+ * @param machines all machines that the leader knows of
+ * @param draft    the transaction that the plan leads to
+ */
+record Turn(long now, long wallMs, Collection<MachineState> machines, Draft draft) {}
--- a/src/main/java/garnetscale/standin/WorkerModel.java
+++ b/src/main/java/garnetscale/standin/WorkerModel.java
@@ -59,6 +59,7 @@
     private long leaseFrom;
     private double slowness = 1;
     private Predicate<TaskId> fails = t -> false;
+    private Double noticeS;
 
     public WorkerModel(
             String id,
@@ -84,6 +85,11 @@
         slowness = times;
     }
 
+    /** Reports from now on that the cloud takes the machine in so many seconds. */
+    public void notice(double seconds) {
+        noticeS = seconds;
+    }
+
     /** Has tasks end in error once they have their image. */
     public void fail(Predicate<TaskId> which) {
         fails = which;
@@ -150,7 +156,7 @@
     public Report report() {
         List<ReportedTask> list = new ArrayList<>();
         tasks.values().forEach(t -> list.add(new ReportedTask(t.id, t.attempt, t.state, t.cause, false)));
-        return new Report(id, address, type.name(), zone, false, shift, ++tick, token, null, list);
+        return new Report(id, address, type.name(), zone, false, shift, ++tick, token, noticeS, list);
     }
 
     /** The answer to a report that was sent at {@code sentAt} in session {@code reportShift}. */
--- a/src/test/java/garnetscale/app/FeaturesFileTest.java
+++ b/src/test/java/garnetscale/app/FeaturesFileTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import garnetscale.core.Features;
+import garnetscale.core.balance.BalanceSettings;
 import garnetscale.core.store.Layouts;
 import garnetscale.core.upgrade.VersionRange;
 import java.io.IOException;
@@ -38,18 +39,21 @@
     @Test
     void featuresAreReadWithTheirSettings() throws IOException, Settings.Faults {
         assertEquals(
-                new Features(true, 3, new VersionRange(1, 1), 0.75),
+                new Features(true, 3, new VersionRange(1, 1), 0.75, BalanceSettings.OFF),
                 read(
                         "[staged_upgrade]\nenabled = true\nsettle = 3\nlatest = 1\n[shared_sockets]\nenabled = true\nfrom = 0.75\n"));
         assertEquals(
-                new Features(false, Features.SETTLE, Layouts.SUPPORTED, 0.95),
+                new Features(false, Features.SETTLE, Layouts.SUPPORTED, 0.95, BalanceSettings.OFF),
                 read("[shared_sockets]\nenabled = true\n"));
+        assertEquals(
+                new BalanceSettings(true, 1, BalanceSettings.MOVING),
+                read("[balance]\nenabled = true\nmargin = 1\n").balance());
     }
 
     @Test
     void theShippedFileIsGood() throws Settings.Faults {
         assertEquals(
-                new Features(true, Features.SETTLE, Layouts.SUPPORTED, 0.95),
+                new Features(true, Features.SETTLE, Layouts.SUPPORTED, 0.95, BalanceSettings.OFF),
                 FeaturesFile.read(Path.of("deploy", "features.toml")));
     }
 
@@ -63,7 +67,10 @@
                         "staged_upgrade.speed is unknown; there are enabled, settle, latest",
                         "shared_sockets.enabled is missing; it is true or false",
                         "shared_sockets.from must be a number from 0.5 to 1.0",
-                        "upgrade is no feature; there are shared_sockets, staged_upgrade"),
+                        "balance.margin must be a number from 0.0 to 10.0",
+                        "balance.moving must be a number from 0.0 to 0.25",
+                        "balance.speed is unknown; there are enabled, margin, moving",
+                        "upgrade is no feature; there are balance, shared_sockets, staged_upgrade"),
                 faults(
                         """
                         [staged_upgrade]
@@ -73,6 +80,11 @@
                         speed = 2
                         [shared_sockets]
                         from = 1.5
+                        [balance]
+                        enabled = true
+                        margin = -1
+                        moving = 0.5
+                        speed = 2
                         [upgrade]
                         enabled = true
                         """));
--- a/src/test/java/garnetscale/app/MixedVersionsTest.java
+++ b/src/test/java/garnetscale/app/MixedVersionsTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import garnetscale.core.Features;
+import garnetscale.core.balance.BalanceSettings;
 import garnetscale.core.upgrade.UpgradeStep;
 import garnetscale.core.upgrade.VersionRange;
 import garnetscale.net.HttpClient;
@@ -74,7 +75,8 @@
         }
         Path file = dir.resolve("node-" + i + ".toml");
         Files.writeString(file, Rehearsal.settings(i, listen, back, state, cloud));
-        nodes[i] = new Node(Settings.read(file, new Features(false, 0.5, layouts, Features.NEVER)));
+        nodes[i] =
+                new Node(Settings.read(file, new Features(false, 0.5, layouts, Features.NEVER, BalanceSettings.OFF)));
         nodes[i].start();
     }
 
--- a/src/test/java/garnetscale/app/StateLinkVersionTest.java
+++ b/src/test/java/garnetscale/app/StateLinkVersionTest.java
@@ -6,6 +6,7 @@
 
 import garnetscale.core.Features;
 import garnetscale.core.TestParams;
+import garnetscale.core.balance.BalanceSettings;
 import garnetscale.core.store.Keys;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
@@ -50,7 +51,7 @@
     private final StateReplica replica = new StateReplica(first);
     private final StateLink link = new StateLink(
             TestParams.small()
-                    .features(new Features(false, Features.SETTLE, first, Features.NEVER))
+                    .features(new Features(false, Features.SETTLE, first, Features.NEVER, BalanceSettings.OFF))
                     .build(),
             io,
             new SplittableRandom(1),
--- /dev/null
+++ b/src/test/java/garnetscale/core/balance/BalancePropertiesTest.java
@@ -0,0 +1,229 @@
+package garnetscale.core.balance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetscale.core.job.TaskId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+/** Properties that hold whatever happens in whatever order. Seeds are fixed, so that a build repeats. */
+class BalancePropertiesTest {
+
+    private static final String SEED = "4711";
+    private static final long LEASE = 10_000;
+    private static final long WINDOW = 4 * LEASE;
+
+    /** A machine's new load, or its end where that is null, some time after the change before. */
+    record Change(int machine, MachineLoad load, int afterMs) {}
+
+    @Provide
+    Arbitrary<List<Change>> changes() {
+        Arbitrary<MachineLoad> load = Combinators.combine(
+                        Arbitraries.of("a", "b"),
+                        Arbitraries.of("small", "large"),
+                        Arbitraries.of(UnknownReason.values()).injectNull(0.6),
+                        Arbitraries.of(true, false),
+                        Arbitraries.maps(
+                                        Arbitraries.of("red", "blue"),
+                                        Arbitraries.longs().between(1, 8000))
+                                .ofMaxSize(2))
+                .as((zone, type, unknown, serving, usedBy) -> new MachineLoad(
+                        new MachineGroup(zone, type), unknown, serving && unknown == null, 8000, usedBy));
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 12),
+                        load.injectNull(0.15),
+                        Arbitraries.integers().between(0, 3000))
+                .as(Change::new)
+                .list()
+                .ofMaxSize(80);
+    }
+
+    /** The running sums equal those made from nothing, and an older picture stays as it was. */
+    @Property(tries = 300, seed = SEED)
+    void theIncrementalPictureEqualsOneFromNothing(@ForAll("changes") List<Change> changes) {
+        LoadTracker tracker = new LoadTracker(5000);
+        Map<String, MachineLoad> machines = new HashMap<>();
+        long now = 0;
+        LoadSnapshot before = tracker.snapshot(now, Demand.NONE);
+        Map<MachineGroup, GroupTotals> expectedBefore = Map.of();
+        for (Change change : changes) {
+            now += change.afterMs();
+            String machine = "m-" + change.machine();
+            if (change.load() == null) {
+                machines.remove(machine);
+                tracker.retain(now, machines.keySet());
+            } else {
+                machines.put(machine, change.load());
+                tracker.update(now, machine, change.load());
+            }
+            assertEquals(expectedBefore, totals(before), "a snapshot changed");
+            before = tracker.snapshot(now, Demand.NONE);
+            expectedBefore = fromNothing(machines);
+            assertEquals(expectedBefore, totals(before));
+            for (MachineGroup group : before.groups().keySet()) {
+                double utilization = before.utilization(group);
+                assertTrue(utilization >= 0 && Double.isFinite(utilization), group + " " + utilization);
+            }
+        }
+    }
+
+    private static Map<MachineGroup, GroupTotals> totals(LoadSnapshot snapshot) {
+        Map<MachineGroup, GroupTotals> totals = new HashMap<>();
+        snapshot.groups().forEach((group, load) -> totals.put(group, load.totals()));
+        return totals;
+    }
+
+    private static Map<MachineGroup, GroupTotals> fromNothing(Map<String, MachineLoad> machines) {
+        Map<MachineGroup, List<MachineLoad>> byGroup = new HashMap<>();
+        machines.values().forEach(load -> byGroup.computeIfAbsent(load.group(), group -> new ArrayList<>())
+                .add(load));
+        Map<MachineGroup, GroupTotals> totals = new HashMap<>();
+        byGroup.forEach((group, loads) -> totals.put(group, GroupTotals.of(loads)));
+        return totals;
+    }
+
+    /** A move that is wanted, and what happens before: leadership may change, and the transaction before may fail. */
+    record Wish(int task, boolean red, boolean toLarge, int paybackMs, int afterMs, boolean newLeader, boolean fails) {}
+
+    @Provide
+    Arbitrary<List<Wish>> wishes() {
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 30),
+                        Arbitraries.of(true, false),
+                        Arbitraries.of(true, false),
+                        Arbitraries.integers().between(0, (int) (WINDOW * 5 / 4)),
+                        Arbitraries.integers().between(0, 4000),
+                        Arbitraries.integers().between(0, 40).map(n -> n == 0),
+                        Arbitraries.integers().between(0, 6).map(n -> n == 0))
+                .as(Wish::new)
+                .list()
+                .ofMaxSize(300);
+    }
+
+    private record Applied(Move move, long at) {}
+
+    /** All limits hold in every prefix, counted from what was applied alone, over all leaders together. */
+    @Property(tries = 200, seed = SEED)
+    void limitsHoldInEveryPrefix(@ForAll("wishes") List<Wish> wishes) {
+        int placed = 400;
+        double share = 0.02;
+        int atATime = 8;
+        LoadSnapshot load = oneGroup();
+        MoveBudget budget = new MoveBudget(share, LEASE);
+        long now = 0;
+        budget.begin(now);
+        List<Applied> applied = new ArrayList<>();
+        Set<Move> refused = new HashSet<>();
+        for (Wish wish : wishes) {
+            now += wish.afterMs();
+            budget.settle(refused::contains);
+            refused.clear();
+            if (wish.newLeader()) {
+                budget = new MoveBudget(share, LEASE);
+                budget.begin(now);
+            }
+            long time = now;
+            int stopping =
+                    (int) applied.stream().filter(a -> time - a.at() < 3000).count();
+            budget.observe(now, placed, stopping);
+            Move move = move(wish, applied.size());
+            if (!budget.allows(now, List.of(move), load)) {
+                continue;
+            }
+            budget.add(now, move);
+            assertTrue(stopping < atATime, "at a time");
+            if (wish.fails()) {
+                refused.add(move);
+            } else {
+                applied.add(new Applied(move, now));
+                check(applied, now, atATime);
+            }
+        }
+    }
+
+    private static void check(List<Applied> applied, long now, int atATime) {
+        List<Applied> window =
+                applied.stream().filter(a -> now - a.at() < WINDOW).toList();
+        assertTrue(window.size() <= 4 * atATime, "in a window");
+        for (String team : List.of("red", "blue")) {
+            assertTrue(window.stream().filter(a -> a.move().team().equals(team)).count() <= 2 * atATime, "of " + team);
+        }
+        Applied last = applied.get(applied.size() - 1);
+        assertTrue(last.move().paybackMs() <= WINDOW, "too long to pay");
+        for (Applied earlier : applied.subList(0, applied.size() - 1)) {
+            assertTrue(
+                    !earlier.move().task().equals(last.move().task())
+                            || now - earlier.at() >= earlier.move().paybackMs(),
+                    "moved again before it paid");
+        }
+    }
+
+    private static Move move(Wish wish, int attempt) {
+        MachineGroup from = new MachineGroup("a", wish.toLarge() ? "small" : "large");
+        MachineGroup to = new MachineGroup("a", wish.toLarge() ? "large" : "small");
+        return new Move(
+                new TaskId("wk-1", wish.task()),
+                attempt,
+                wish.red() ? "red" : "blue",
+                1,
+                "m-1",
+                from,
+                to,
+                "wk-2",
+                100,
+                10,
+                wish.paybackMs());
+    }
+
+    private static LoadSnapshot oneGroup() {
+        LoadTracker tracker = new LoadTracker(1000);
+        for (String type : List.of("small", "large")) {
+            tracker.update(
+                    0, "m-" + type, new MachineLoad(new MachineGroup("a", type), null, true, 1_000_000, Map.of()));
+        }
+        return tracker.snapshot(0, Demand.NONE);
+    }
+
+    /** Equal bids go to groups by turns: none gets more than its part by more than one bid. */
+    @Property(tries = 200, seed = SEED)
+    void equalBidsAreSpreadEvenly(@ForAll("bids") List<Integer> groups) {
+        LoadTracker tracker = new LoadTracker(1000);
+        for (int i = 0; i < 3; i++) {
+            tracker.update(0, "m-" + i, new MachineLoad(group(i), null, true, 100_000, Map.of()));
+        }
+        List<Integer> ordered = new SpreadOrder(tracker.snapshot(0, Demand.NONE))
+                .spread(groups, bid -> 0, BalancePropertiesTest::group, bid -> 1);
+        assertEquals(
+                groups.stream().sorted().toList(), ordered.stream().sorted().toList());
+        Map<Integer, Integer> left = new HashMap<>();
+        groups.forEach(group -> left.merge(group, 1, Integer::sum));
+        Map<Integer, Integer> taken = new HashMap<>();
+        for (int group : ordered) {
+            for (int other : left.keySet()) {
+                boolean hasMore = left.get(other) > taken.getOrDefault(other, 0);
+                assertTrue(!hasMore || taken.getOrDefault(group, 0) <= taken.getOrDefault(other, 0) + 1);
+            }
+            taken.merge(group, 1, Integer::sum);
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Integer>> bids() {
+        return Arbitraries.integers().between(0, 2).list().ofMaxSize(40);
+    }
+
+    private static MachineGroup group(int index) {
+        return new MachineGroup("z" + index, "t");
+    }
+}
--- a/src/test/java/garnetscale/core/lead/ElectionTest.java
+++ b/src/test/java/garnetscale/core/lead/ElectionTest.java
@@ -51,7 +51,7 @@
         n1.suspect(20_000, "n0", true);
         n1.suspect(20_001, "n2", true);
         assertNull(n1.election(20_100));
-        n1.hears("n0", true);
+        n1.hears(20_150, "n0", true);
         assertNotNull(n1.election(20_200), "a leader that no worker reaches is no loss");
     }
 
--- a/src/test/java/garnetscale/core/sim/ClusterShape.java
+++ b/src/test/java/garnetscale/core/sim/ClusterShape.java
@@ -3,13 +3,24 @@
 import garnetscale.core.Features;
 import garnetscale.core.Params;
 import garnetscale.core.TestParams;
+import garnetscale.core.balance.BalanceSettings;
+import garnetscale.core.machine.MachineType;
 import garnetscale.core.store.Layouts;
 import garnetscale.core.upgrade.VersionRange;
 import java.util.ArrayList;
 import java.util.List;
 
-/** How many controllers and workers there are, spread over the zones in turn. */
-record ClusterShape(int nodes, List<String> zones, int workers, int valueBytes) {
+/** How many controllers and workers there are, spread over the zones in turn; {@code red} and {@code blue}: teams' limits in CPUs. */
+record ClusterShape(
+        int nodes,
+        List<String> zones,
+        int workers,
+        int valueBytes,
+        List<MachineType> types,
+        List<Params.Objective> objectives,
+        double red,
+        double blue,
+        BalanceSettings balance) {
 
     private static final int VALUE_BYTES = 16 * 1024;
 
@@ -20,6 +31,33 @@
     /** Values so small that a few dozen machines outgrow a shard. */
     static final ClusterShape SMALL_VALUES = new ClusterShape(3, List.of("a", "b"), 160, 4 * 1024);
 
+    ClusterShape(int nodes, List<String> zones, int workers, int valueBytes) {
+        this(
+                nodes,
+                zones,
+                workers,
+                valueBytes,
+                List.of(SimulatedCluster.TYPE),
+                List.of(new Params.Objective("wait", "c", 2, 0.9, 0)),
+                4.0 * workers,
+                Math.floor(2.7 * workers),
+                BalanceSettings.OFF);
+    }
+
+    /** The same with machines of these types in turn in each zone, teams' limits far off, and no class that must start at once. */
+    ClusterShape withTypes(List<MachineType> all) {
+        double most = all.stream().mapToDouble(MachineType::cpus).sum() * workers;
+        return new ClusterShape(nodes, zones, workers, valueBytes, all, List.of(), most, most, balance);
+    }
+
+    ClusterShape withBalance(BalanceSettings settings) {
+        return new ClusterShape(nodes, zones, workers, valueBytes, types, objectives, red, blue, settings);
+    }
+
+    MachineType type(int i) {
+        return types.get(i / zones.size() % types.size());
+    }
+
     String zone(int i) {
         return zones.get(i % zones.size());
     }
@@ -41,18 +79,10 @@
                 .teams(
                         new Params.Team("red", 8, red(), 0, Double.POSITIVE_INFINITY),
                         new Params.Team("blue", 8, blue(), 0, Double.POSITIVE_INFINITY))
-                .objectives(new Params.Objective("wait", "c", 2, 0.9, 0))
+                .objectives(objectives.toArray(new Params.Objective[0]))
                 .workers(SimulatedCluster.REPORT, SimulatedCluster.LEASE, SimulatedCluster.CANCEL)
                 .valueBytes(valueBytes)
-                .features(new Features(true, 0.5, layouts, Features.NEVER))
+                .features(new Features(true, 0.5, layouts, Features.NEVER, balance))
                 .build();
     }
-
-    double red() {
-        return 4.0 * workers;
-    }
-
-    double blue() {
-        return Math.floor(2.7 * workers);
-    }
 }
--- a/src/test/java/garnetscale/core/sim/Rules.java
+++ b/src/test/java/garnetscale/core/sim/Rules.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -29,6 +30,8 @@
     private final Map<String, String> zones;
     /** Whether a stored placement names an attempt on a machine: nothing may run without one. */
     BiPredicate<String, Long> placed = (machine, attempt) -> true;
+    /** Told of each task that truly began, with its machine. */
+    BiConsumer<String, TaskId> onBegan = (machine, task) -> {};
     /** Told of each task that completed. */
     Consumer<TaskId> onDone = task -> {};
 
@@ -52,6 +55,7 @@
     public void began(String machine, TaskId task, long attempt) {
         starts++;
         startsOf.merge(task.job(), 1, Integer::sum);
+        onBegan.accept(machine, task);
         String other = running.put(task, machine);
         if (other != null) {
             broke("ran_twice", task + " starts on " + machine + " while on " + other);
@@ -99,6 +103,11 @@
         return cancelledAt.containsKey(job);
     }
 
+    /** Whether the task has completed somewhere. */
+    boolean isDone(TaskId task) {
+        return completed.contains(task);
+    }
+
     /** Whether every task of the job has completed somewhere. */
     boolean isComplete(String job) {
         return java.util.stream.IntStream.range(0, jobs.get(job).tasks())
--- a/src/test/java/garnetscale/core/sim/SimulatedCluster.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedCluster.java
@@ -1,39 +1,25 @@
 package garnetscale.core.sim;
 
 import garnetscale.core.Params;
-import garnetscale.core.bid.Estimator;
-import garnetscale.core.block.BlockHolder;
 import garnetscale.core.block.Blocks;
-import garnetscale.core.block.LeaderInfo;
-import garnetscale.core.block.NodeInfo;
-import garnetscale.core.block.Observation;
 import garnetscale.core.job.JobRecord;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.job.JobState;
 import garnetscale.core.job.Priority;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.job.TestJob;
-import garnetscale.core.lead.Leader;
-import garnetscale.core.lead.Pipeline;
-import garnetscale.core.machine.Address;
 import garnetscale.core.machine.MachineType;
-import garnetscale.core.machine.Placement;
 import garnetscale.core.machine.Report;
-import garnetscale.core.machine.WorkerCommand;
-import garnetscale.core.store.Change;
 import garnetscale.core.store.Keys;
-import garnetscale.core.store.Layouts;
 import garnetscale.core.store.Records;
 import garnetscale.core.store.StateReplica;
 import garnetscale.core.store.Txn;
-import garnetscale.core.store.TxnResult;
 import garnetscale.core.upgrade.UpgradeDecision;
 import garnetscale.core.upgrade.UpgradeStep;
 import garnetscale.core.upgrade.VersionRange;
 import garnetscale.net.Budget;
 import garnetscale.standin.StateLimits;
 import garnetscale.standin.StateModel;
-import garnetscale.standin.WorkerModel;
 import garnetscale.timeline.Timeline;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -56,11 +42,11 @@
     static final long LEASE = 10_000;
     static final long CANCEL = 35_000;
     /** Small, so that a listing takes many requests. */
-    private static final int PAGE = 15;
+    static final int PAGE = 15;
     /** The state service's answer to a change above its rate. */
-    private static final int TOO_MANY = 429;
+    static final int TOO_MANY = 429;
     /** The part of the rate that a leader uses. */
-    private static final double LEADER_SHARE = 0.675;
+    static final double LEADER_SHARE = 0.675;
     /** What the state service takes in one transaction, and in one value. */
     private static final int TXN_OPS = 24;
 
@@ -74,28 +60,34 @@
 
     final Rules rules;
     final StateModel state;
-    final List<Node> nodes = new ArrayList<>();
-    final List<Worker> workers = new ArrayList<>();
+    final List<SimulatedNode> nodes = new ArrayList<>();
+    final List<SimulatedWorker> workers = new ArrayList<>();
     /** Jobs that were submitted with a mistake: their tasks fail wherever they run. */
     final Set<String> broken = new HashSet<>();
 
     private final Map<String, Long> cutUntil = new HashMap<>();
-    private final Map<String, Long> frozenUntil = new HashMap<>();
-    private final Map<String, VersionRange> installed = new HashMap<>();
-    private final Map<String, Worker> byId = new HashMap<>();
+    final Map<String, Long> frozenUntil = new HashMap<>();
+    final Map<String, VersionRange> installed = new HashMap<>();
+    private final Map<String, SimulatedWorker> byId = new HashMap<>();
     private final Map<String, String> zones = new HashMap<>();
     private final StateReplica observer = new StateReplica();
     private final Map<String, Long> refusedUntil = new HashMap<>();
-    private final List<Report> kept = new ArrayList<>();
+    final List<Report> kept = new ArrayList<>();
     private final Map<String, Long> blockTerms = new HashMap<>();
     private final Map<String, Long> blockMovedAt = new HashMap<>();
-    private final Fault fault;
+    final Fault fault;
     final ClusterShape shape;
     long outageUntil;
     long copiesUntil;
     double loss = 0.002;
     /** Besides following by short requests, nodes watch by ones that hang open, also through a refusal. */
     boolean watches;
+    /** Told of each transaction of a controller that was applied. */
+    Consumer<Txn> onStored = txn -> {};
+    /** Controllers on which load balancing is off from their next start on. */
+    final Set<String> unbalanced = new HashSet<>();
+    /** Told what a controller's leader logs. */
+    BiConsumer<String, String> onLog = (node, line) -> {};
     /** Told of each start that a holder sends, with its machine. */
     BiConsumer<String, TaskId> onStartSent = (machine, task) -> {};
     /** Share of cancellations of which the peers aren't told: their links are down just then. */
@@ -103,7 +95,7 @@
     /** The changes a second that the state service takes, and what was refused beyond it; unbounded unless set. */
     private Budget writes = new Budget(Double.MAX_VALUE, Double.MAX_VALUE, 0);
 
-    private Params paced;
+    Params paced;
     int refusedWrites;
     /** Until then reports are kept, and so long after a new leader's beginning their copies reach every controller. */
     long keepUntil;
@@ -120,7 +112,7 @@
 
     int slowMs;
     /** Until then these machines reach no controller, while direct requests reach them. */
-    private final Map<String, Long> muteUntil = new HashMap<>();
+    final Map<String, Long> muteUntil = new HashMap<>();
 
     SimulatedCluster(long seed, Fault fault, ClusterShape shape) {
         super(seed);
@@ -128,12 +120,12 @@
         this.shape = shape;
         this.state = new StateModel(new StateLimits(shape.valueBytes(), TXN_OPS, TXN_BYTES));
         this.rules = new Rules(Map.of("red", shape.red(), "blue", shape.blue()), zones, CANCEL, () -> now);
-        state.commit(new Txn().put(Keys.TYPES, Records.types(List.of(TYPE))));
+        state.commit(new Txn().put(Keys.TYPES, Records.types(shape.types())));
         observer.reset(state.list(Keys.MIRRORED, null, 10), state.ledger());
         rules.placed =
                 (machine, attempt) -> stored().placements(machine).stream().anyMatch(p -> p.attempt() == attempt);
         for (int i = 0; i < shape.nodes(); i++) {
-            nodes.add(new Node("n" + i));
+            nodes.add(new SimulatedNode(this, "n" + i));
         }
         for (int i = 0; i < shape.workers(); i++) {
             bring(i);
@@ -154,12 +146,12 @@
 
     /** Has an operator ask whichever node believes that it leads. */
     UpgradeDecision upgrade(UpgradeStep step) {
-        Node node =
+        SimulatedNode node =
                 nodes.stream().filter(n -> n.name.equals(leader())).findFirst().orElseThrow();
         return node.up ? node.leader.upgrade(now, step) : new UpgradeDecision.Refused("it is down");
     }
 
-    private int commit(Node by, Txn txn) {
+    int commit(SimulatedNode by, Txn txn) {
         int active = stored().version().active();
         int status = commit(txn);
         if (status == 200 && !txn.ops().isEmpty() && !by.layouts.contains(active)) {
@@ -180,14 +172,18 @@
             refusedWrites++;
             return TOO_MANY;
         }
-        return state.commit(txn);
+        int status = state.commit(txn);
+        if (status == 200) {
+            onStored.accept(txn);
+        }
+        return status;
     }
 
     /** A machine is up from now on. */
-    Worker bring(int i) {
+    SimulatedWorker bring(int i) {
         String id = String.format(Locale.ROOT, "m-%06d", i);
         zones.put(id, shape.zone(i));
-        Worker w = new Worker(id, shape.zone(i));
+        SimulatedWorker w = new SimulatedWorker(this, id, shape.type(i), shape.zone(i));
         workers.add(w);
         byId.put(w.id, w);
         return w;
@@ -205,7 +201,7 @@
         if (now >= outageUntil) {
             state.expire(now);
         }
-        for (Worker w : workers) {
+        for (SimulatedWorker w : workers) {
             if (isFrozen(w.id)) {
                 // PROTOCOL: a machine that hangs may go on within its lease, and not after it.
                 w.model.lapse(now);
@@ -232,7 +228,7 @@
     /** Old reports reach every controller, and nobody reads the answers. */
     private void deliverKept() {
         for (Report r : kept) {
-            for (Node n : nodes) {
+            for (SimulatedNode n : nodes) {
                 at(keptDelay + random.nextInt(400), () -> {
                     met("old report at a new leader");
                     n.onReport(r, reply -> {});
@@ -252,7 +248,7 @@
     void cutFromAllButWorkers(String node, long ms) {
         cut(node + ">state", ms);
         cut("state>" + node, ms);
-        for (Node other : nodes) {
+        for (SimulatedNode other : nodes) {
             cut(node + ">" + other.name, ms);
             cut(other.name + ">" + node, ms);
         }
@@ -279,7 +275,7 @@
 
     /** The node loses the other nodes, both ways, and nothing else. */
     void cutFromPeers(String node, long ms) {
-        for (Node other : nodes) {
+        for (SimulatedNode other : nodes) {
             if (!other.name.equals(node)) {
                 cut(node + ">" + other.name, ms);
                 cut(other.name + ">" + node, ms);
@@ -302,13 +298,18 @@
         return zones.get(worker);
     }
 
+    /** The type of a machine. */
+    String typeOf(String worker) {
+        return shape.type(Blocks.number(worker)).name();
+    }
+
     long leaderTerm() {
         return stored().leader() == null ? -1 : stored().leader().term();
     }
 
     /** The node that a machine reports to at the moment. */
     String reportsTo(String worker) {
-        return nodes.get(byId.get(worker).target % nodes.size()).name;
+        return nodes.get(byId.get(worker).target() % nodes.size()).name;
     }
 
     void mute(String worker, long ms) {
@@ -329,6 +330,11 @@
         at(ms, () -> state.refreshLeases(now));
     }
 
+    /** The cloud is about to take the machine, which reports so from now on. */
+    void drain(String worker, double noticeS) {
+        byId.get(worker).model.notice(noticeS);
+    }
+
     /** The machine stands still, and goes on where it was. */
     void hang(String worker, long ms) {
         if (!isFrozen(worker)) {
@@ -338,7 +344,7 @@
         }
     }
 
-    private boolean isFrozen(String who) {
+    boolean isFrozen(String who) {
         return now < frozenUntil.getOrDefault(who, 0L);
     }
 
@@ -370,7 +376,7 @@
         frozenUntil.put(node, now + ms);
     }
 
-    private void thawed(String who, Runnable run) {
+    void thawed(String who, Runnable run) {
         long left = frozenUntil.getOrDefault(who, 0L) - now;
         if (left > 0) {
             at(left + random.nextInt(20), run);
@@ -417,7 +423,7 @@
     }
 
     void submit(String id, String team, Priority priority, int tasks, double cpus, double seconds, boolean oneZone) {
-        JobSpec job = TestJob.named(id)
+        submit(TestJob.named(id)
                 .team(team)
                 .priority(priority)
                 .tasks(tasks)
@@ -425,7 +431,11 @@
                 .oneZone(oneZone)
                 .imageGb(0.5)
                 .estimateS(seconds)
-                .build();
+                .build());
+    }
+
+    void submit(JobSpec job) {
+        String id = job.id();
         rules.jobs.put(id, job);
         state.commit(new Txn()
                 .guard(Keys.job(id), 0)
@@ -475,524 +485,7 @@
         return false;
     }
 
-    // ---- workers
-
-    final class Worker {
-
-        final WorkerModel model;
-        final String id;
-        private int target;
-        private long generation;
-
-        Worker(String id, String zone) {
-            this.id = id;
-            this.model = new WorkerModel(id, id, TYPE, zone, LEASE, 0, rules.jobs::get, rules);
-            model.fail(t -> broken.contains(t.job()));
-            at(random.nextInt(1000), this::report);
-        }
-
-        /** One report in flight at a time; its answer counts for four seconds. */
-        private void report() {
-            if (isFrozen(id)) {
-                thawed(id, this::report);
-                return;
-            }
-            model.advance(now);
-            Report r = model.report();
-            long mine = ++generation;
-            long sentAt = now;
-            Node node = nodes.get(target % nodes.size());
-            if (now < copiesUntil && random.nextInt(3) == 0) {
-                // A copy of the report comes late, to any node, and nobody reads its answer.
-                Node other = nodes.get(random.nextInt(nodes.size()));
-                at(1000 + random.nextInt(4 * (int) LEASE), () -> other.onReport(r, reply -> {}));
-            }
-            if (now < keepUntil && kept.size() < 200) {
-                kept.add(r);
-            }
-            if (now < muteUntil.getOrDefault(id, 0L)) {
-                met("a machine that reaches no controller");
-                next(1000);
-                return;
-            }
-            send(
-                    id,
-                    node.name,
-                    () -> node.onReport(
-                            r,
-                            reply -> send(node.name, id, () -> {
-                                if (mine == generation && !isFrozen(id)) {
-                                    generation++;
-                                    answered(r, sentAt, reply);
-                                }
-                            })));
-            at(4000, () -> {
-                if (mine == generation) {
-                    generation++;
-                    next(1000);
-                }
-            });
-        }
-
-        private void answered(Report r, long sentAt, BlockHolder.Reply reply) {
-            if (reply instanceof BlockHolder.Reply.Answer a) {
-                model.answered(now, sentAt, r.shift(), a.token(), a.orders());
-                at(REPORT * 3 / 4 + random.nextInt((int) REPORT / 2), this::report);
-            } else if (reply instanceof BlockHolder.Reply.Redirect to && to.node() != null) {
-                target = Integer.parseInt(to.node().substring(1));
-                at(random.nextInt(500), this::report);
-            } else {
-                next(1000);
-            }
-        }
-
-        private void next(long pause) {
-            target++;
-            at(pause, this::report);
-        }
-    }
-
-    // ---- controllers
-
-    final class Node {
-
-        final String name;
-        private StateReplica replica;
-        private BlockHolder holder;
-        private Leader leader;
-        private Pipeline pipeline;
-        private long lease;
-        private boolean listing;
-        private long leadTerm;
-        /** Of this process; what was meant for an earlier one is dropped. */
-        private int life;
-
-        private boolean up;
-        /** What this process supports. */
-        private VersionRange layouts;
-        /** A leader's part of the changes a second. */
-        private Budget pace;
-
-        Node(String name) {
-            this.name = name;
-            start();
-        }
-
-        private void start() {
-            life++;
-            up = true;
-            layouts = installed.getOrDefault(name, Layouts.SUPPORTED);
-            replica = new StateReplica(layouts);
-            Params p = shape.params(name, layouts);
-            Blocks blocks = new Blocks(p);
-            holder = new BlockHolder(p, replica, blocks, new Estimator(REPORT));
-            leader = new Leader(p, replica, blocks, s -> {});
-            pipeline = new Pipeline(replica, leader);
-            double leaderWrites = LEADER_SHARE * p.stateWritesPerS();
-            pace = new Budget(leaderWrites, leaderWrites, now);
-            lease = -1;
-            leadTerm = -1;
-            listing = false;
-            int mine = life;
-            loop(mine, 20 + random.nextInt(30), this::work);
-            loop(mine, 400, this::renew);
-            loop(mine, 60, this::follow);
-            loop(mine, 3100, this::watch);
-            loop(mine, 1000, () -> peers(n -> n.leader.hears(name, holder.deaf())));
-            loop(mine, 1000, () -> {
-                if (leader.leadingTerm() >= 0) {
-                    List<Address> book = workers.stream()
-                            .map(w -> new Address(w.id, w.id, w.model.report().zone()))
-                            .toList();
-                    peers(n -> n.holder.onBook(book, leader.lateJobs(), List.copyOf(leader.suspects())));
-                }
-            });
-        }
-
-        private void loop(int mine, long period, Runnable run) {
-            after(period, () -> {
-                if (life == mine && up) {
-                    run.run();
-                    loop(mine, period, run);
-                }
-            });
-        }
-
-        /** One of the node's own timers. */
-        private void after(long ms, Runnable run) {
-            at(ms, () -> thawed(name, run));
-        }
-
-        void crash(long downMs) {
-            frozenUntil.remove(name);
-            up = false;
-            life++;
-            at(downMs, this::start);
-        }
-
-        private void peers(Consumer<Node> message) {
-            for (Node n : nodes) {
-                if (n == this) {
-                    message.accept(n);
-                } else {
-                    send(name, n.name, () -> {
-                        if (n.up) {
-                            message.accept(n);
-                        }
-                    });
-                }
-            }
-        }
-
-        /** A request to the state service; the answer is dropped when this process is over or too late. */
-        private <T> void ask(java.util.function.Supplier<T> request, T refused, Consumer<T> answer, Runnable lost) {
-            int mine = life;
-            boolean[] over = new boolean[1];
-            send(name, "state", () -> {
-                T result = refuses(name) ? refused : request.get();
-                Runnable back = () -> send("state", name, () -> {
-                    if (life == mine && !over[0]) {
-                        over[0] = true;
-                        answer.accept(result);
-                    }
-                });
-                if (now < slowUntil) {
-                    at(random.nextInt(slowMs), back);
-                } else {
-                    back.run();
-                }
-            });
-            after(2000, () -> {
-                if (life == mine && !over[0]) {
-                    over[0] = true;
-                    lost.run();
-                }
-            });
-        }
-
-        /** A watch: answered when something has changed or its time is over, and hanging open while the store refuses. */
-        private void watch() {
-            if (!watches || !replica.loaded() || listing) {
-                return;
-            }
-            int mine = life;
-            long sentAt = now;
-            long since = replica.ledger();
-            send(
-                    name,
-                    "state",
-                    () -> hangOpen(
-                            since,
-                            now + 3000,
-                            a -> send("state", name, () -> {
-                                if (life == mine && !listing) {
-                                    replica.advance(a.changes(), a.ledger());
-                                    if (!replica.torn()) {
-                                        holder.confirmed(sentAt);
-                                    }
-                                }
-                            })));
-        }
-
-        private void hangOpen(long since, long until, Consumer<Answer> answer) {
-            List<Change> changes = refuses(name) ? List.of() : state.changes(Keys.MIRRORED, since);
-            if (refuses(name) || changes.isEmpty() && now < until) {
-                if (refuses(name)) {
-                    met("a watch hung open through a refusal");
-                }
-                at(40, () -> hangOpen(since, until, answer));
-            } else {
-                answer.accept(new Answer(changes, state.ledger()));
-            }
-        }
-
-        private void renew() {
-            if (replica.unreadable() != null) {
-                met("stood aside");
-                return;
-            }
-            if (lease < 0) {
-                ask(
-                        () -> state.grant(now, 1500),
-                        -1L,
-                        id -> {
-                            if (lease < 0 && id >= 0) {
-                                lease = id;
-                            }
-                        },
-                        () -> {});
-                return;
-            }
-            long mine = lease;
-            ask(
-                    () -> state.touch(now, mine) ? 1 : 0,
-                    -1,
-                    ok -> {
-                        if (ok == 0 && lease == mine) {
-                            lease = -1;
-                            holder.incarnate(-1);
-                            leader.incarnate(-1);
-                        }
-                    },
-                    () -> {});
-        }
-
-        private record Answer(List<Change> changes, long ledger) {}
-
-        private void follow() {
-            if (listing) {
-                return;
-            }
-            if (!replica.loaded() || replica.torn()) {
-                listing = true;
-                page(now, null, new ArrayList<>(), -1);
-                return;
-            }
-            long sentAt = now;
-            long since = replica.ledger();
-            ask(
-                    () -> new Answer(state.changes(Keys.MIRRORED, since), state.ledger()),
-                    new Answer(null, 0),
-                    a -> {
-                        if (a.changes() != null && !listing) {
-                            replica.advance(a.changes(), a.ledger());
-                            if (!replica.torn()) {
-                                holder.confirmed(sentAt);
-                            }
-                        }
-                    },
-                    () -> {});
-        }
-
-        /** Reads a page of a listing; the store goes on changing between pages. */
-        private void page(long sentAt, String since, List<Change> sofar, long first) {
-            ask(
-                    () -> new Answer(state.list(Keys.MIRRORED, since, PAGE), state.ledger()),
-                    new Answer(null, 0),
-                    a -> {
-                        if (a.changes() == null) {
-                            listing = false;
-                            return;
-                        }
-                        sofar.addAll(a.changes());
-                        long ledger = first < 0 ? a.ledger() : first;
-                        if (a.changes().size() == PAGE) {
-                            page(sentAt, sofar.get(sofar.size() - 1).key(), sofar, ledger);
-                            return;
-                        }
-                        listing = false;
-                        replica.reset(sofar, ledger);
-                        if (replica.loaded()) {
-                            holder.confirmed(sentAt);
-                        }
-                    },
-                    () -> listing = false);
-        }
-
-        private void register() {
-            NodeInfo me = replica.node(name);
-            if (lease >= 0 && (me == null || me.incarnation() != lease)) {
-                commit(
-                        new Txn()
-                                .guard(Keys.node(name), replica.stamp(Keys.node(name)))
-                                .put(
-                                        Keys.node(name),
-                                        Records.node(new NodeInfo(
-                                                name, lease, shape.params(name).zoneOfNode(name), layouts)),
-                                        lease),
-                        (r, l) -> {});
-            } else if (lease >= 0) {
-                holder.incarnate(lease);
-                leader.incarnate(lease);
-            }
-        }
-
-        private void commit(Txn txn, BiConsumer<TxnResult, Long> done) {
-            if (!replica.loaded()) {
-                done.accept(TxnResult.REFUSED, -1L);
-                return;
-            }
-            replica.guardVersion(txn);
-            if (now < lateUntil && random.nextDouble() < lateShare) {
-                int mine = life;
-                at(
-                        lateAtOnce ? 1 + random.nextInt(5) : 2000 + random.nextInt(10_000),
-                        () -> met(
-                                now >= outageUntil && SimulatedCluster.this.commit(this, txn) == 200
-                                        ? "carried out without an answer"
-                                        : "late and overtaken"));
-                after(2000, () -> {
-                    if (life == mine) {
-                        done.accept(TxnResult.MAYBE, -1L);
-                    }
-                });
-                return;
-            }
-            ask(
-                    () -> {
-                        int status = SimulatedCluster.this.commit(this, txn);
-                        TxnResult result = status == 200
-                                ? TxnResult.OK
-                                : status == 409
-                                        ? TxnResult.CONFLICT
-                                        : status == TOO_MANY ? TxnResult.REFUSED : TxnResult.NO_LEASE;
-                        return new Object[] {result, state.ledger()};
-                    },
-                    new Object[] {TxnResult.REFUSED, -1L},
-                    r -> done.accept((TxnResult) r[0], (Long) r[1]),
-                    () -> done.accept(TxnResult.MAYBE, -1L));
-        }
-
-        private void work() {
-            if (!replica.loaded()) {
-                return;
-            }
-            register();
-            holder.tick(now);
-            holder.drain().forEach(this::carryOut);
-            if (lease < 0) {
-                return;
-            }
-            if (!leader.leads(now)) {
-                leadTerm = -1;
-                Txn election = leader.election(now);
-                if (election != null && random.nextInt(4) == 0) {
-                    commit(election, (r, l) -> {});
-                }
-                return;
-            }
-            if (leader.leadingTerm() != leadTerm) {
-                leadTerm = leader.leadingTerm();
-                pipeline.restart();
-                peers(n -> n.holder.resynchronize(now));
-            }
-            if (fault == Fault.FREE_UNSEEN && random.nextInt(50) == 0) {
-                lie(List.copyOf(leader.machines()));
-            }
-            if (paced != null && pace.waitMs(now, 1) > 0) {
-                return;
-            }
-            Txn txn = pipeline.next(() -> leader.plan(now));
-            if (txn != null) {
-                pace.force(now, txn.ops().size());
-                commit(txn, (result, ledger) -> {
-                    pipeline.ended(result, ledger);
-                    pipeline.ready();
-                });
-            }
-        }
-
-        /** Tells the leader that what is placed on some machines is gone, without any proof. */
-        private void lie(List<Observation> seen) {
-            for (int i = 0; i < seen.size(); i += 20) {
-                Observation o = seen.get(random.nextInt(seen.size()));
-                List<Long> all = replica.placements(o.machine()).stream()
-                        .map(Placement::attempt)
-                        .toList();
-                leader.onObservation(
-                        now,
-                        new Observation(
-                                o.node(),
-                                o.incarnation(),
-                                o.block(),
-                                o.term(),
-                                o.machine(),
-                                o.address(),
-                                o.type(),
-                                o.zone(),
-                                o.spot(),
-                                o.shift(),
-                                o.noticeS(),
-                                o.silent(),
-                                o.tasks(),
-                                all));
-            }
-        }
-
-        void onReport(Report r, Consumer<BlockHolder.Reply> answer) {
-            if (up && replica.loaded()) {
-                BlockHolder.Reply reply = holder.onReport(now, r);
-                answer.accept(reply);
-                if (reply instanceof BlockHolder.Reply.Answer a) {
-                    startsSent(r.machine(), a.orders());
-                }
-                holder.drain().forEach(this::carryOut);
-            }
-        }
-
-        private void carryOut(BlockHolder.Effect e) {
-            LeaderInfo l = replica.leader();
-            if (e instanceof BlockHolder.Effect.Command c) {
-                command(c);
-            } else if (e instanceof BlockHolder.Effect.Probe p) {
-                WorkerModel w = worker(p.machine()).model;
-                int mine = life;
-                boolean[] over = new boolean[1];
-                send(name, p.machine(), () -> {
-                    w.advance(now);
-                    Report r = w.report();
-                    send(p.machine(), name, () -> {
-                        if (life == mine && !over[0]) {
-                            over[0] = true;
-                            holder.onProbeEnded();
-                            holder.onProbeAnswer(now, r);
-                        }
-                    });
-                });
-                after(2000, () -> {
-                    if (life == mine && !over[0]) {
-                        over[0] = true;
-                        holder.onProbeEnded();
-                    }
-                });
-            } else if (l != null) {
-                Node to = nodes.get(Integer.parseInt(l.node().substring(1)));
-                Consumer<Node> message = e instanceof BlockHolder.Effect.Tell t
-                        ? n -> n.leader.onObservation(now, t.observation())
-                        : n -> n.leader.onBids(now, ((BlockHolder.Effect.Offer) e).batch());
-                if (to == this) {
-                    message.accept(this);
-                } else {
-                    send(name, to.name, () -> {
-                        if (to.up) {
-                            message.accept(to);
-                        }
-                    });
-                }
-            }
-        }
-
-        private void startsSent(String machine, List<WorkerCommand> orders) {
-            orders.stream()
-                    .filter(WorkerCommand.Start.class::isInstance)
-                    .forEach(o -> onStartSent.accept(machine, o.task()));
-        }
-
-        private void command(BlockHolder.Effect.Command c) {
-            startsSent(c.machine(), c.orders());
-            WorkerModel w = worker(c.machine()).model;
-            int mine = life;
-            boolean[] over = new boolean[1];
-            send(name, c.machine(), () -> {
-                w.command(now, c.token(), c.shift(), c.orders());
-                Report r = w.report();
-                send(c.machine(), name, () -> {
-                    if (life == mine && !over[0]) {
-                        over[0] = true;
-                        holder.onCommandAnswer(now, c.machine(), c.token(), r);
-                    }
-                });
-            });
-            after(4000, () -> {
-                if (life == mine && !over[0]) {
-                    over[0] = true;
-                    holder.onCommandLost(now, c.machine(), c.token());
-                }
-            });
-        }
-    }
-
-    Worker worker(String id) {
+    SimulatedWorker worker(String id) {
         return byId.get(id);
     }
 }
--- a/src/test/java/garnetscale/core/sim/UpgradeSimulationTest.java
+++ b/src/test/java/garnetscale/core/sim/UpgradeSimulationTest.java
@@ -49,7 +49,7 @@
             }
         }
         for (int i = 0; i < cluster.nodes.size(); i++) {
-            SimulatedCluster.Node node = cluster.nodes.get(i);
+            SimulatedNode node = cluster.nodes.get(i);
             cluster.at(20_000 + 3000 * i, () -> start(cluster, node, NEW, 1000));
         }
         for (long at = 40_000; at < TROUBLE; at += 8000) {
@@ -101,13 +101,13 @@
     }
 
     /** The node's process ends and is started again with a program that supports these versions. */
-    private static void start(SimulatedCluster cluster, SimulatedCluster.Node node, VersionRange layouts, long downMs) {
+    private static void start(SimulatedCluster cluster, SimulatedNode node, VersionRange layouts, long downMs) {
         cluster.install(node.name, layouts);
         node.crash(downMs);
     }
 
     private static void trouble(SimulatedCluster cluster) {
-        SimulatedCluster.Node node = cluster.nodes.get(cluster.random.nextInt(cluster.nodes.size()));
+        SimulatedNode node = cluster.nodes.get(cluster.random.nextInt(cluster.nodes.size()));
         int ms = 1000 + cluster.random.nextInt(15_000);
         switch (cluster.random.nextInt(10)) {
             case 0, 1, 2, 3 -> start(cluster, node, NEW, cluster.random.nextInt(3000));
