status shows the load by group and team, job the moves of its tasks

Need: operators have to see a hot group, what isn't known and why, and what was moved for what gain.

Change: LoadView, shown by the leader while load balancing is on. No change where the feature is off.

--- a/src/main/java/garnetscale/app/ClusterInspector.java
+++ b/src/main/java/garnetscale/app/ClusterInspector.java
@@ -92,6 +92,11 @@
         status.put("blocks", blocks.all().stream().map(this::block).toList());
         status.put("machines_with_records", replica.placedMachines().size());
         status.put("teams", teams());
+        if (params.features().balance().enabled() && sources.leader().leadingTerm() >= 0) {
+            status.put(
+                    "load",
+                    LoadView.load(sources.leader().load(), sources.clock().getAsLong()));
+        }
         return status;
     }
 
@@ -197,6 +202,10 @@
             tree.put("why", why);
         }
         tree.put("placements", placements(spec.id()));
+        List<Map<String, Object>> moves = LoadView.moves(sources.leader().recentMoves(), spec.id());
+        if (!moves.isEmpty()) {
+            tree.put("moves", moves);
+        }
         return tree;
     }
 
--- /dev/null
+++ b/src/test/java/garnetscale/app/LoadViewTest.java
@@ -0,0 +1,53 @@
+package garnetscale.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import garnetscale.core.balance.Demand;
+import garnetscale.core.balance.LoadTracker;
+import garnetscale.core.balance.MachineGroup;
+import garnetscale.core.balance.MachineLoad;
+import garnetscale.core.balance.Move;
+import garnetscale.core.balance.UnknownReason;
+import garnetscale.core.job.TaskId;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What operators are shown of the load and of moves. */
+class LoadViewTest {
+
+    private static final MachineGroup SMALL = new MachineGroup("a", "small");
+    private static final MachineGroup LARGE = new MachineGroup("a", "large");
+
+    @Test
+    void groupsAreShownWithWhatIsUnknown() {
+        LoadTracker tracker = new LoadTracker(1000);
+        tracker.update(0, "m-1", new MachineLoad(SMALL, null, true, 8000, Map.of("red", 2500L, "blue", 1500L)));
+        tracker.update(0, "m-2", new MachineLoad(LARGE, UnknownReason.HOLDER_UNHEARD, false, 16_000, Map.of()));
+        Map<String, Object> load = LoadView.load(
+                tracker.snapshot(500, Demand.NONE.plus("red", 120.4, 7).plusWaiting(SMALL, 120.4)), 800);
+        assertEquals(300L, load.get("age_ms"));
+        assertEquals(
+                "[{group=a/large, machines=1, serving=0, known=false, unknown=1 HOLDER_UNHEARD, cpus=0.0, used=0.0,"
+                        + " utilization=1.0, waiting_cpu_s=0, teams=none},"
+                        + " {group=a/small, machines=1, serving=1, known=true, unknown=none, cpus=8.0, used=4.0,"
+                        + " utilization=0.5, waiting_cpu_s=120, teams=blue 1.5, red 2.5}]",
+                load.get("groups").toString());
+        assertEquals(
+                "[{team=red, waiting_cpu_s=120, placed_cpu_s=7}]",
+                load.get("demand").toString());
+    }
+
+    @Test
+    void aJobShowsItsOwnMoves() {
+        List<Move> moves = List.of(move("wk-1", "wk-9"), move("wk-2", null));
+        assertEquals(
+                "[{task=3, from=m-1 (a/large), to=a/small, for=wk-9, gain_cpu_s=100, disruption_cpu_s=10}]",
+                LoadView.moves(moves, "wk-1").toString());
+        assertEquals("itself", LoadView.moves(moves, "wk-2").get(0).get("for"));
+    }
+
+    private static Move move(String job, String beneficiary) {
+        return new Move(new TaskId(job, 3), 1, "red", 1, "m-1", LARGE, SMALL, beneficiary, 100, 10, 5000);
+    }
+}
