A move's gain is the waiting that it saves all tasks of the job, forecast with and without it

Change: WaitForecast plays the waiting tasks on the room that comes free, with and without the stops.

--- a/src/main/java/garnetscale/core/balance/MovePlanner.java
+++ b/src/main/java/garnetscale/core/balance/MovePlanner.java
@@ -30,6 +30,9 @@
     /** A group that is fuller than this on average isn't moved into: room there is about to be needed. */
     private static final double MOST_UTILIZATION = 0.8;
 
+    /** Clearances come cheapest first: after so many in a row that don't pay, the dearer ones aren't looked at. */
+    private static final int MOST_REJECTED = 16;
+
     private static final double MILLIS = 1000;
 
     /** What the planner decides from. */
@@ -60,9 +63,8 @@
             return stops.stream().mapToDouble(stop -> stop.task().stopS()).max().orElse(0);
         }
 
-        /** What the job gains by the room, if it would otherwise get some after so many seconds. */
-        double gainCpuS(JobSpec job, double releaseS) {
-            return Math.max(0, releaseS - stopS()) * job.cpus();
+        List<RunningTask> tasks() {
+            return stops.stream().map(Stop::task).toList();
         }
     }
 
@@ -94,20 +96,20 @@
         List<SourceMachine> fitting =
                 input.machines().stream().filter(machine -> fits(machine, job)).toList();
         int missing = waiting.tasks();
+        List<SourceMachine> starts = new ArrayList<>();
         for (SourceMachine machine : fitting) {
-            int slots = Math.min(missing, machine.free().slots(job));
             // Room that is there or on its way is this job's: it isn't offered to the next one again.
-            machine.free().take(job, slots);
-            missing -= slots;
+            for (; missing > 0 && machine.free().fits(job); missing--) {
+                machine.free().take(job);
+                starts.add(machine);
+            }
         }
         if (missing <= 0) {
             return;
         }
-        double[] releases = fitting.stream()
-                .mapToDouble(machine -> releaseS(machine, job))
-                .filter(Double::isFinite)
-                .sorted()
-                .toArray();
+        WaitForecast forecast = new WaitForecast(job, waiting.runS(), missing);
+        starts.forEach(forecast::addStart);
+        forecast.addRoom(fitting);
         List<Clearance> clearances = new ArrayList<>();
         Map<String, Optional<Offer>> destinations = new HashMap<>();
         for (SourceMachine machine : fitting) {
@@ -118,12 +120,12 @@
         }
         clearances.sort(Comparator.comparingDouble(Clearance::disruptionCpuS)
                 .thenComparing(clearance -> clearance.machine().machine()));
-        int cleared = 0;
+        int rejected = 0;
         for (Clearance clearance : clearances) {
-            if (cleared >= Math.min(missing, releases.length)) {
+            if (rejected >= MOST_REJECTED) {
                 return;
             }
-            cleared += carryOut(clearance, job, releases[cleared]) ? 1 : 0;
+            rejected = carryOut(clearance, job, forecast) ? 0 : rejected + 1;
         }
     }
 
@@ -131,20 +133,6 @@
         return JobQueue.allows(machine.type(), machine.group().zone(), machine.spot(), job);
     }
 
-    /** Seconds until a task of the job fits on the machine without any move; infinite where it never will. */
-    private static double releaseS(SourceMachine machine, JobSpec job) {
-        FreeCapacity free = machine.free().copy();
-        List<RunningTask> byEnd = new ArrayList<>(machine.tasks());
-        byEnd.sort(Comparator.comparingDouble(RunningTask::remainingS));
-        for (RunningTask task : byEnd) {
-            free.giveBack(task.job());
-            if (free.fits(job)) {
-                return task.remainingS();
-            }
-        }
-        return Double.POSITIVE_INFINITY;
-    }
-
     /** The cheapest stops that make room for one task of the job, or null where there are none. */
     private Clearance clearance(SourceMachine machine, JobSpec job, Map<String, Optional<Offer>> destinations) {
         if (!input.load().isKnown(machine.group())) {
@@ -210,7 +198,7 @@
     }
 
     /** Makes the moves if there is an offer for each and they are still worth it; several may have to share one offer's room. */
-    private boolean carryOut(Clearance cheapest, JobSpec job, double releaseS) {
+    private boolean carryOut(Clearance cheapest, JobSpec job, WaitForecast forecast) {
         List<Stop> reserved = new ArrayList<>();
         for (Stop stop : cheapest.stops()) {
             Offer offer = destination(stop.task().job(), job, reserved);
@@ -221,17 +209,19 @@
             reserved.add(Stop.of(stop.task(), offer));
         }
         Clearance clearance = new Clearance(cheapest.machine(), reserved);
-        if (reserved.size() < cheapest.stops().size() || !accept(clearance, job, releaseS)) {
+        if (reserved.size() < cheapest.stops().size() || !accept(clearance, job, forecast)) {
             reserved.forEach(stop -> offers.giveBack(stop.offer()));
             return false;
         }
+        forecast.stop(clearance.machine(), clearance.tasks(), clearance.stopS());
         reserved.forEach(stop -> clearance.machine().free().giveBack(stop.task().job()));
         clearance.machine().free().take(job);
         return true;
     }
 
-    private boolean accept(Clearance clearance, JobSpec job, double releaseS) {
-        double gain = clearance.gainCpuS(job, releaseS);
+    private boolean accept(Clearance clearance, JobSpec job, WaitForecast forecast) {
+        double savedS = forecast.savedS(clearance.machine(), clearance.tasks(), clearance.stopS());
+        double gain = savedS * job.cpus();
         double disruption = clearance.disruptionCpuS();
         if (gain <= (1 + margin) * disruption) {
             return false;
--- a/src/main/java/garnetscale/core/lead/Balancer.java
+++ b/src/main/java/garnetscale/core/lead/Balancer.java
@@ -187,7 +187,7 @@
         for (JobView job : JobQueue.sort(replica.jobs(), order, turn.wallMs())) {
             int tasks = job.unstarted() - turn.draft().awarded(job.spec().id());
             if (tasks > 0 && job.spec().priority().compareTo(lowest) < 0 && findsNoRoom(turn, job)) {
-                found.add(new WaitingJob(job.spec(), tasks));
+                found.add(new WaitingJob(job.spec(), tasks, estimator.runS(job.spec())));
             }
         }
         return found;
--- a/src/test/java/garnetscale/core/balance/MovePlannerTest.java
+++ b/src/test/java/garnetscale/core/balance/MovePlannerTest.java
@@ -74,7 +74,7 @@
     }
 
     private List<Move> planForBound() {
-        return plan(new WaitingJob(bound, 1));
+        return plan(new WaitingJob(bound, 1, 10));
     }
 
     @Test
@@ -122,7 +122,7 @@
         large("m-1", null, false, task(Priority.NORMAL, 28, 0));
         large("m-2", null, false);
         assertEquals(List.of(), planForBound());
-        assertEquals(1, plan(new WaitingJob(bound, 2)).size());
+        assertEquals(1, plan(new WaitingJob(bound, 2, 10)).size());
     }
 
     @Test
--- a/src/test/java/garnetscale/core/sim/MoveHistory.java
+++ b/src/test/java/garnetscale/core/sim/MoveHistory.java
@@ -91,6 +91,17 @@
                         && cluster.rules.jobs.get(start.task().job()).priority().compareTo(moved.priority()) < 0);
     }
 
+    /** CPU-seconds that moved tasks had run and didn't save. */
+    double lostCpuS() {
+        double lost = 0;
+        for (Moved move : moves) {
+            JobSpec job = cluster.rules.jobs.get(move.task().job());
+            double leftS = (move.endsAt() - move.at()) / 1000.0;
+            lost += Math.max(0, job.estimateS() - leftS) * job.cpus();
+        }
+        return lost;
+    }
+
     /** The shortest time between two moves of one task, in milliseconds; the largest number if none was moved twice. */
     long shortestBetweenMoves() {
         long shortest = Long.MAX_VALUE;
