Bids of machines that are full by what is stored don't hide that a job finds no room

Change: Balancer counts a bid by the room that is stored, for jobs that wait and for destinations. Test: bidsAreLost.

--- a/src/main/java/garnetscale/core/lead/Balancer.java
+++ b/src/main/java/garnetscale/core/lead/Balancer.java
@@ -21,6 +21,7 @@
 import garnetscale.core.machine.FreeCapacity;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
+import garnetscale.core.store.FreeCapacityCache;
 import garnetscale.core.store.JobView;
 import garnetscale.core.store.StateReplica;
 import java.util.ArrayList;
@@ -52,6 +53,7 @@
     private final JobOrder order;
     private final Failures failures;
     private final Map<String, MachineState> machines;
+    private final FreeCapacityCache capacities;
     private final Consumer<String> log;
     private final LoadObserver observer;
     private final MoveBudget budget;
@@ -67,6 +69,7 @@
             JobOrder order,
             Failures failures,
             Map<String, MachineState> machines,
+            FreeCapacityCache capacities,
             Consumer<String> log) {
         this.params = params;
         this.settings = params.features().balance();
@@ -76,6 +79,7 @@
         this.order = order;
         this.failures = failures;
         this.machines = machines;
+        this.capacities = capacities;
         this.log = log;
         this.observer = new LoadObserver(params, replica, auction, estimator);
         this.budget = new MoveBudget(settings.moving(), params.leaseMs());
@@ -171,7 +175,7 @@
 
     // ---- who waits
 
-    /** Jobs for which no machine bids although they have waited for a report interval, and work of lower priority is placed. */
+    /** Jobs that wait although no bidder has room, for a report interval or longer, while work of lower priority is placed. */
     private List<WaitingJob> waitingForRoom(Turn turn) {
         Priority lowest = null;
         for (JobView job : replica.jobs()) {
@@ -195,7 +199,7 @@
 
     private boolean findsNoRoom(Turn turn, JobView job) {
         return turn.wallMs() - job.job().submittedMs() >= params.reportMs()
-                && auction.bids(job.spec().id()).isEmpty()
+                && auction.bids(job.spec().id()).stream().allMatch(bid -> slots(turn, bid, job.spec()) == 0)
                 && !failures.isSuspect(job.spec().id())
                 && turn.draft().quota().allows(job.spec());
     }
@@ -292,27 +296,39 @@
 
     private Map<String, List<Offer>> offers(Turn turn) {
         Map<String, List<Offer>> offers = new HashMap<>();
-        for (String job : wanted) {
+        for (String id : wanted) {
+            JobSpec job = replica.job(id).spec();
             List<Offer> ofJob = new ArrayList<>();
-            for (Bid bid : auction.bids(job)) {
-                MachineState machine = machines.get(bid.machine());
-                if (machine != null && isUsable(turn.now(), machine, bid)) {
-                    MachineGroup group = LoadObserver.groupOf(machine);
-                    ofJob.add(new Offer(
-                            machine.id,
-                            group,
-                            replica.type(group.type()),
-                            machine.last.spot(),
-                            isSlow(machine),
-                            bid.slots(),
-                            bid.finishS()));
+            for (Bid bid : auction.bids(id)) {
+                int slots = slots(turn, bid, job);
+                if (slots > 0) {
+                    ofJob.add(offer(machines.get(bid.machine()), slots, bid.finishS()));
                 }
             }
-            offers.put(job, ofJob);
+            offers.put(id, ofJob);
         }
         return offers;
     }
 
+    private Offer offer(MachineState machine, int slots, double finishS) {
+        MachineGroup group = LoadObserver.groupOf(machine);
+        MachineType type = replica.type(group.type());
+        return new Offer(machine.id, group, type, machine.last.spot(), isSlow(machine), slots, finishS);
+    }
+
+    /**
+     * How many tasks of the job a bidder has room for, by its bid and by what is stored: a batch that takes its bids back may
+     * have been lost with its connection.
+     */
+    private int slots(Turn turn, Bid bid, JobSpec job) {
+        MachineState machine = machines.get(bid.machine());
+        if (machine == null || !isUsable(turn.now(), machine, bid)) {
+            return 0;
+        }
+        FreeCapacity room = capacities.of(machine.id, replica.type(machine.last.type()));
+        return Math.min(bid.slots(), room.slots(job));
+    }
+
     private boolean isUsable(long now, MachineState machine, Bid bid) {
         return replica.type(machine.last.type()) != null
                 && !machine.last.silent()
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -108,7 +108,7 @@
         this.drainStops = new DrainStops(replica, estimator, params.reportMs(), log);
         this.preemptionStops = new PreemptionStops(params, replica, auction, estimator, order, reserve, failures, log);
         this.lateBidStops = new LateBidStops(replica, auction, estimator, machines, log);
-        this.balancer = new Balancer(params, replica, auction, estimator, order, failures, machines, log);
+        this.balancer = new Balancer(params, replica, auction, estimator, order, failures, machines, capacities, log);
         this.upgrades =
                 new UpgradeCoordinator(replica, params.features().layouts(), params.settleMs(), params.valueBytes());
     }
--- a/src/test/java/garnetscale/core/sim/BalanceSimulationTest.java
+++ b/src/test/java/garnetscale/core/sim/BalanceSimulationTest.java
@@ -191,6 +191,19 @@
         play(day -> day.onFirstMove(move -> day.cluster().outage(25_000)));
     }
 
+    /**
+     * A batch that takes bids back is lost, and the same isn't sent again while nothing changes: bids of machines that are full
+     * by what is stored mustn't hide that a job finds no room.
+     */
+    @Test
+    void bidsAreLost() {
+        play(day -> {
+            day.cluster().at(SWELL, () -> day.cluster().loss = 0.1);
+            day.cluster().at(SWELL + 60_000, () -> day.cluster().loss = 0.002);
+            day.onFirstMove(move -> {});
+        });
+    }
+
     /** Some controllers have load balancing on and others off, and leadership changes between them. */
     @Test
     void controllersWithAndWithoutBalancing() {
