--- a/src/main/java/garnetscale/app/Node.java
+++ b/src/main/java/garnetscale/app/Node.java
@@ -230,6 +230,7 @@
 
     /** Ends all that the node does; the future tells when it has. */
     Future<?> stop() {
+        loop.next().execute(state::stop);
         return loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
--- a/src/main/java/garnetscale/app/Rehearsal.java
+++ b/src/main/java/garnetscale/app/Rehearsal.java
@@ -78,7 +78,8 @@
             }
             return play(listen) && isInspected(back[0]) ? 0 : 1;
         } finally {
-            nodes.forEach(Node::stop);
+            // The controllers first: while they go on, they log that the stand-ins don't answer any more.
+            nodes.forEach(node -> node.stop().awaitUninterruptibly());
             loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             try (var files = Files.list(dir)) {
                 for (Path f : files.toList()) {
--- a/src/main/java/garnetscale/app/StateLink.java
+++ b/src/main/java/garnetscale/app/StateLink.java
@@ -86,6 +86,7 @@
     private long lease = -1;
     private boolean registering;
     private long confirmedAt;
+    private boolean stopped;
     private long failingSince = -1;
 
     StateLink(Params params, Io io, RandomGenerator random, StateReplica replica, Listener listener) {
@@ -115,6 +116,11 @@
         every(CONFIRM_MS, () -> sync(ok -> {}));
     }
 
+    /** The process ends: connections that fail from now on are its own doing, and not worth a log line. */
+    void stop() {
+        stopped = true;
+    }
+
     private void every(long ms, Runnable run) {
         io.after(ms, () -> {
             run.run();
@@ -154,7 +160,7 @@
     }
 
     private void failed(String what, HttpResult r) {
-        if (failingSince < 0) {
+        if (failingSince < 0 && !stopped) {
             failingSince = now();
             LOG.info("state service: {} failed, {} {}", what, r.outcome(), r.status());
         }
--- a/src/test/java/garnetscale/app/SettingsTest.java
+++ b/src/test/java/garnetscale/app/SettingsTest.java
@@ -74,6 +74,12 @@
         assertTrue(s.params().graceMs() + s.params().leaseMs() < s.params().cancelMs());
     }
 
+    @Test
+    void theExampleIsGood() throws Settings.Faults {
+        Settings example = Settings.read(Path.of("deploy", "settings.example.toml"));
+        assertEquals(2, example.params().members().size());
+    }
+
     @Test
     void namesEachFaultWithItsKey() {
         assertEquals(List.of("facts.workers.lease_s is missing"), faults(GOOD.replace("lease_s = 10.0", "")));
