--- a/src/main/java/garnetscale/core/lead/Balancer.java
+++ b/src/main/java/garnetscale/core/lead/Balancer.java
@@ -43,9 +43,6 @@
     /** A save may take longer than its job says. */
     private static final double SAVE_SLACK = 1.5;
 
-    /** Report intervals within which a change on a machine is known to the leader. */
-    private static final int FRESH_REPORTS = 2;
-
     private static final double MILLIS = 1000;
 
     private final Params params;
@@ -57,6 +54,7 @@
     private final Failures failures;
     private final Map<String, MachineState> machines;
     private final FreeCapacityCache capacities;
+    private final AwardTimes awardTimes;
     private final Consumer<String> log;
     private final LoadObserver observer;
     private final MoveBudget budget;
@@ -73,6 +71,7 @@
             Failures failures,
             Map<String, MachineState> machines,
             FreeCapacityCache capacities,
+            AwardTimes awardTimes,
             Consumer<String> log) {
         this.params = params;
         this.settings = params.features().balance();
@@ -83,6 +82,7 @@
         this.failures = failures;
         this.machines = machines;
         this.capacities = capacities;
+        this.awardTimes = awardTimes;
         this.log = log;
         this.observer = new LoadObserver(params, replica, auction, estimator);
         this.budget = new MoveBudget(settings.moving(), params.leaseMs());
@@ -238,32 +238,25 @@
                 machine.id, LoadObserver.groupOf(machine), type, machine.last.spot(), isSlow(machine), free, tasks);
     }
 
+    /**
+     * A task as the planner sees it. Its run counts from its award: the report that it began may have been lost or come late, and
+     * a costly task would look like a new one. For the same reason a task that an earlier leader awarded isn't moved.
+     */
     private RunningTask task(long now, MachineState machine, Placement placement, JobView job) {
         JobSpec spec = job.spec();
         Long since = machine.runningSince.get(placement.attempt());
-        double ranS = since == null ? 0 : (now - since) / MILLIS;
-        double remainingS =
-                since == null ? estimator.runS(spec, machine.id) : estimator.remainingS(spec, machine.id, ranS);
-        double savedS = spec.savesProgress() ? ranS : 0;
-        boolean isStartPending = mustStartSoon.contains(spec.jobClass()) && ranS < START_COUNTS_S;
-        boolean isStale = since == null && mustHaveBegun(now, machine, spec);
+        Long awardedAt = awardTimes.at(placement.attempt());
+        double seenRunningS = since == null ? 0 : (now - since) / MILLIS;
+        double ranAtMostS = awardedAt == null ? seenRunningS : (now - awardedAt) / MILLIS;
+        boolean isStartPending = mustStartSoon.contains(spec.jobClass()) && seenRunningS < START_COUNTS_S;
         return new RunningTask(
                 placement.task(),
                 placement.attempt(),
                 spec,
-                remainingS,
-                savedS,
+                estimator.remainingS(spec, machine.id, ranAtMostS),
+                spec.savesProgress() ? seenRunningS : 0,
                 stopS(spec),
-                job.live() && !isStartPending && !isStale);
-    }
-
-    /**
-     * Whether a task that isn't known to run must have begun long ago: its machine was last reported before it had its image,
-     * and the report that it runs was lost. It would look as if it had all its run still before it.
-     */
-    private boolean mustHaveBegun(long now, MachineState machine, JobSpec job) {
-        double fetchS = Estimator.fetchS(job, replica.type(machine.last.type()));
-        return now - machine.seen > FRESH_REPORTS * params.reportMs() + MILLIS * fetchS;
+                job.live() && awardedAt != null && !isStartPending);
     }
 
     /** Until a stop that is decided now has freed the room: the holder's command, the save, and the report that proves it. */
--- a/src/main/java/garnetscale/core/lead/Leader.java
+++ b/src/main/java/garnetscale/core/lead/Leader.java
@@ -83,6 +83,7 @@
     private LeaderInfo acting;
     private long actingSince;
     private final AttemptNumbers attempts = new AttemptNumbers();
+    private final AwardTimes awardTimes;
     private final DrainStops drainStops;
     private final PreemptionStops preemptionStops;
     private final LateBidStops lateBidStops;
@@ -105,10 +106,12 @@
         this.reserve = new Reserve(params);
         this.capacities = new FreeCapacityCache(replica);
         this.auction = new Auction(replica, params.windowMs());
+        this.awardTimes = new AwardTimes(params.reportMs());
         this.drainStops = new DrainStops(replica, estimator, params.reportMs(), log);
         this.preemptionStops = new PreemptionStops(params, replica, auction, estimator, order, reserve, failures, log);
         this.lateBidStops = new LateBidStops(replica, auction, estimator, machines, log);
-        this.balancer = new Balancer(params, replica, auction, estimator, order, failures, machines, capacities, log);
+        this.balancer = new Balancer(
+                params, replica, auction, estimator, order, failures, machines, capacities, awardTimes, log);
         this.upgrades =
                 new UpgradeCoordinator(replica, params.features().layouts(), params.settleMs(), params.valueBytes());
     }
@@ -145,6 +148,7 @@
             acting = replica.leader();
             actingSince = now;
             attempts.begin(term);
+            awardTimes.clear();
             upgrades.clear();
             requested = null;
             machines.clear();
@@ -336,7 +340,7 @@
         int perMachine = Math.max(8, params.valueBytes() / 64);
         int before = attempts.given();
         new Awards(replica, auction, machines, perMachine, order, reserve, capacities, balancer.load())
-                .award(now, now + wallOffset, draft, failures, attempts::next);
+                .award(now, now + wallOffset, draft, failures, () -> nextAttempt(now));
         if (now - judgedAt >= params.reportMs() / 2) {
             judgedAt = now;
             forgetSilent(now);
@@ -351,6 +355,12 @@
         return draft.isEmpty() ? null : draft.toTxn();
     }
 
+    private long nextAttempt(long now) {
+        long attempt = attempts.next();
+        awardTimes.add(now, attempt);
+        return attempt;
+    }
+
     /** Stops tasks for whatever reason there is; {@code awardedNothing}: nothing was placed in this turn. */
     private void planStops(Turn turn, boolean awardedNothing) {
         drainStops.plan(turn);
