Tasks that are bound by where their job's others are don't move to another zone

Cause, found by reading: a task of a job with all tasks in one zone could be stopped for a bid from another zone, where it isn't placed while the others run; and room could be made in a zone of no use to a waiting job that is bound likewise.

Change: such tasks move within their zone only, and no room is made for such jobs. Test: aTaskThatIsBoundToItsZoneStaysInIt.

--- a/src/main/java/garnetscale/core/balance/MovePlanner.java
+++ b/src/main/java/garnetscale/core/balance/MovePlanner.java
@@ -143,7 +143,8 @@
             if (task.job().priority().compareTo(job.priority()) > 0 && mayMove(task)) {
                 destinations
                         .computeIfAbsent(
-                                task.job().id(), id -> Optional.ofNullable(destination(task.job(), job, List.of())))
+                                task.job().id() + "@" + machine.group().zone(),
+                                key -> Optional.ofNullable(destination(machine, task.job(), job, List.of())))
                         .ifPresent(offer -> candidates.add(Stop.of(task, offer)));
             }
         }
@@ -171,10 +172,10 @@
      * The best offer for a task of a job from a machine that the waiting job doesn't fit, or null; {@code reserved}: stops that
      * the same room is made by, and that go somewhere, too.
      */
-    private Offer destination(JobSpec job, JobSpec waiting, List<Stop> reserved) {
+    private Offer destination(SourceMachine from, JobSpec job, JobSpec waiting, List<Stop> reserved) {
         return offers.best(
                 job.id(),
-                offer -> isKnown(offer)
+                offer -> mayGo(from, job, offer)
                         && !offer.fits(waiting)
                         && input.load().utilization(offer.group()) <= MOST_UTILIZATION
                         && budget.hasRoomAt(
@@ -188,8 +189,12 @@
                 .sum();
     }
 
-    private boolean isKnown(Offer offer) {
-        return input.load().isKnown(offer.machine()) && input.load().isKnown(offer.group());
+    /** Tasks that are bound by where the others of their job are stay in their zone: anywhere else they might not be placed. */
+    private boolean mayGo(SourceMachine from, JobSpec job, Offer offer) {
+        boolean isBound = job.oneZone() || job.spread();
+        return input.load().isKnown(offer.machine())
+                && input.load().isKnown(offer.group())
+                && (!isBound || offer.group().zone().equals(from.group().zone()));
     }
 
     /** Seconds until the task would be finished if it were stopped now: stop, fetch, and what of its run isn't saved. */
@@ -201,7 +206,7 @@
     private boolean carryOut(Clearance cheapest, JobSpec job, WaitForecast forecast) {
         List<Stop> reserved = new ArrayList<>();
         for (Stop stop : cheapest.stops()) {
-            Offer offer = destination(stop.task().job(), job, reserved);
+            Offer offer = destination(cheapest.machine(), stop.task().job(), job, reserved);
             if (offer == null) {
                 break;
             }
@@ -243,7 +248,8 @@
         }
         for (RunningTask task : machine.tasks()) {
             Offer offer = mayMove(task)
-                    ? offers.best(task.job().id(), candidate -> isKnown(candidate) && !candidate.slow())
+                    ? offers.best(
+                            task.job().id(), candidate -> mayGo(machine, task.job(), candidate) && !candidate.slow())
                     : null;
             if (offer == null) {
                 continue;
--- a/src/main/java/garnetscale/core/lead/Balancer.java
+++ b/src/main/java/garnetscale/core/lead/Balancer.java
@@ -200,8 +200,11 @@
         return found;
     }
 
+    /** Jobs that are bound by where their other tasks are don't count: room in another zone might be of no use to them. */
     private boolean findsNoRoom(Turn turn, JobView job) {
-        return turn.wallMs() - job.job().submittedMs() >= params.reportMs()
+        return !job.spec().oneZone()
+                && !job.spec().spread()
+                && turn.wallMs() - job.job().submittedMs() >= params.reportMs()
                 && auction.bids(job.spec().id()).stream().allMatch(bid -> slots(turn, bid, job.spec()) == 0)
                 && !failures.isSuspect(job.spec().id())
                 && turn.draft().quota().allows(job.spec());
--- a/src/test/java/garnetscale/core/balance/MovePlannerTest.java
+++ b/src/test/java/garnetscale/core/balance/MovePlannerTest.java
@@ -103,6 +103,24 @@
         assertEquals(1, planForBound().size());
     }
 
+    /** Its other tasks are in its zone: it might not be placed in the other one, and would have been stopped for nothing. */
+    @Test
+    void aTaskThatIsBoundToItsZoneStaysInIt() {
+        MachineGroup elsewhere = new MachineGroup("b", "small");
+        tracker.update(0, "m-b", new MachineLoad(elsewhere, null, true, 8000, Map.of()));
+        offers.clear();
+        offers.add(new Offer("m-b", elsewhere, SMALL, false, false, 1, 30));
+        large("m-large", null, false, task(Priority.NORMAL, 28, 0));
+        assertEquals(1, planForBound().size());
+        budget.settle(move -> true);
+        machines.remove(machines.size() - 1);
+        JobSpec oneZone = TestJob.named("wk-flexible").cpus(8).oneZone(true).build();
+        large("m-large", null, false, new RunningTask(new TaskId(oneZone.id(), 9), 9, oneZone, 28, 0, 1, true));
+        assertEquals(List.of(), planForBound());
+        offer("m-small", 1, 30);
+        assertEquals(1, planForBound().size());
+    }
+
     /** PROTOCOL lets work be stopped for work of higher priority only. */
     @Test
     void workOfTheSamePriorityStays() {
