Reject a transaction that arrives again after it was carried out

Cause: PartitionAssigner guarded the leases of partitions by the leader key and the version, neither of which the transaction changes. A copy of the request that arrived while the same leader led was applied again and brought back an older term and owner. The owner rejects workers that have seen a newer term.

Why the fix works: a key's revision never returns, so a transaction whose guard is on a key that it changes is applied once at most. The same was missing for two others: the machine types, and compactions that write no entry.

Tests, seen to fail before: PartitionAssignerTest.aRepeatedLeaseTransactionDoesNotRestoreAnOlderTerm, ConcurrentLateTransactionTest (all four methods, by the new check of every transaction), LeaderMachineTypesTest, LayoutChangeTest (LogFixture checks each transaction). The emulated state service names transactions whose guards still hold once applied, the simulated one lets applied ones arrive again by seed, ScriptedCluster those of users.

--- a/src/main/java/garnetscale/controller/LeadershipLoop.java
+++ b/src/main/java/garnetscale/controller/LeadershipLoop.java
@@ -231,10 +231,9 @@
 
     private Transaction plan(long now) {
         context.pacer().planStarted(now);
-        if (!cloudTypes.isEmpty() && context.replica().types().isEmpty()) {
-            return new Transaction()
-                    .guard(Keys.LEADER, context.replica().modRevision(Keys.LEADER))
-                    .put(Keys.TYPES, Records.types(cloudTypes));
+        Transaction types = leader.storeTypes(cloudTypes);
+        if (types != null) {
+            return types;
         }
         Transaction resignation = leader.leads(now) ? leader.resignation(now) : null;
         Transaction transaction = resignation != null ? resignation : leader.plan(now);
--- a/src/main/java/garnetscale/core/leader/Leader.java
+++ b/src/main/java/garnetscale/core/leader/Leader.java
@@ -6,7 +6,10 @@
 import garnetscale.core.bidding.BidBatch;
 import garnetscale.core.cluster.PartitionLease;
 import garnetscale.core.cluster.PartitionMap;
+import garnetscale.core.machine.MachineType;
 import garnetscale.core.partition.MachineStatus;
+import garnetscale.core.state.Keys;
+import garnetscale.core.state.Records;
 import garnetscale.core.state.StateReplica;
 import garnetscale.core.state.Transaction;
 import garnetscale.core.upgrade.UpgradeDecision;
@@ -203,6 +206,20 @@
 
     // ---- planning
 
+    /**
+     * Returns the transaction that stores the machine types, or null if some are stored or there are none to store. Call this only
+     * while this controller leads.
+     */
+    public Transaction storeTypes(List<MachineType> types) {
+        if (types.isEmpty() || !replica.types().isEmpty()) {
+            return null;
+        }
+        return new Transaction()
+                .guard(Keys.LEADER, replica.modRevision(Keys.LEADER))
+                .guard(Keys.TYPES, replica.modRevision(Keys.TYPES))
+                .put(Keys.TYPES, Records.types(types));
+    }
+
     /** Returns the next transaction, or null if this controller doesn't lead or there is nothing to change. */
     public Transaction plan(long now) {
         if (!leads(now)) {
--- a/src/main/java/garnetscale/core/leader/PartitionAssigner.java
+++ b/src/main/java/garnetscale/core/leader/PartitionAssigner.java
@@ -164,10 +164,15 @@
         return best;
     }
 
+    /**
+     * Adds the lease of a partition. The leader key alone would be no sufficient guard: the request may arrive again while the same
+     * leader leads, and would bring back an older term.
+     */
     private void lease(String partition, ControllerInfo owner, long term, Transaction transaction) {
-        transaction.put(
-                Keys.partition(partition),
-                Records.partition(new PartitionLease(owner.name(), owner.incarnation(), term)));
+        String key = Keys.partition(partition);
+        transaction
+                .guard(key, replica.modRevision(key))
+                .put(key, Records.partition(new PartitionLease(owner.name(), owner.incarnation(), term)));
         log.accept("leasing partition, partition=" + partition + " owner=" + owner.name() + " term=" + term);
     }
 
--- a/src/main/java/garnetscale/core/state/LogWriter.java
+++ b/src/main/java/garnetscale/core/state/LogWriter.java
@@ -109,7 +109,8 @@
 
     /**
      * Adds the entry, if it changes any machine or is needed for the first split, and the compaction, if one is due. Also
-     * guards the keys of the last and of the next entry, so that the transaction fails if either has changed.
+     * guards the keys of the last and of the next entry, so that the transaction fails if either has changed. Without an entry,
+     * these keys stay as they are; the guards of the compacted keys prevent that the transaction is applied twice.
      *
      * @param machines new machine records, by machine; {@link MachineRecord#NONE} removes a record
      * @param parts    new parts of finished sets, by {@link WorkLog#partOf name}
@@ -128,8 +129,12 @@
             }
             transaction.put(key, LogCodec.encodeEntry(entry(machines, parts)));
         }
-        compaction.puts().forEach(transaction::put);
-        compaction.deletes().forEach(transaction::delete);
+        compaction.puts().forEach((page, value) -> transaction
+                .guard(page, replica.modRevision(page))
+                .put(page, value));
+        compaction.deletes().forEach(deleted -> transaction
+                .guard(deleted, replica.modRevision(deleted))
+                .delete(deleted));
     }
 
     /**
--- a/src/main/java/garnetscale/core/state/Transaction.java
+++ b/src/main/java/garnetscale/core/state/Transaction.java
@@ -8,6 +8,9 @@
 /**
  * A compare-and-swap of several keys. If every guarded key was last changed at the given revision, all operations are applied
  * in one revision; otherwise none is. A transaction is built by one owner and isn't modified after it is sent.
+ *
+ * <p>A request may arrive again, long after it was carried out. Each transaction therefore guards a key that it changes, so that
+ * its guards no longer hold once it is applied.
  */
 public final class Transaction {
 
--- a/src/main/java/garnetscale/emulator/StateModel.java
+++ b/src/main/java/garnetscale/emulator/StateModel.java
@@ -35,6 +35,8 @@
     private final Map<Long, Lease> leases = new TreeMap<>();
     /** For each transaction that was rejected for its size, the limit that it exceeded. */
     private final List<String> oversized = new ArrayList<>();
+    /** Applied transactions whose guards still held afterwards. */
+    private final List<String> repeatable = new ArrayList<>();
 
     private final StateLimits limits;
     private long revision;
@@ -55,6 +57,14 @@
         return oversized;
     }
 
+    /**
+     * Returns the applied transactions whose guards still held afterwards, so that a copy of the request that arrives later would be
+     * applied again, in the order of their arrival.
+     */
+    public List<String> repeatable() {
+        return repeatable;
+    }
+
     /** Returns the revision of the last change; 0 before the first. */
     public long revision() {
         return revision;
@@ -128,11 +138,8 @@
             oversized.add(violation);
             return 400;
         }
-        for (Map.Entry<String, Long> guard : transaction.guards().entrySet()) {
-            Entry entry = keys.get(guard.getKey());
-            if ((entry == null ? 0 : entry.modRevision()) != guard.getValue()) {
-                return 409;
-            }
+        if (!guardsHold(transaction)) {
+            return 409;
         }
         for (Transaction.Op operation : transaction.ops()) {
             if (operation.lease() != 0 && !leases.containsKey(operation.lease())) {
@@ -150,9 +157,19 @@
                 log.add(new KeyChange(operation.key(), operation.value(), revision));
             }
         }
+        if (!transaction.ops().isEmpty() && guardsHold(transaction)) {
+            repeatable.add(transaction.toString());
+        }
         return 200;
     }
 
+    private boolean guardsHold(Transaction transaction) {
+        return transaction.guards().entrySet().stream().allMatch(guard -> {
+            Entry entry = keys.get(guard.getKey());
+            return (entry == null ? 0 : entry.modRevision()) == guard.getValue();
+        });
+    }
+
     /**
      * Returns the entries of keys with a prefix, in the order of the keys.
      *
--- a/src/test/java/garnetscale/controller/JobApiTest.java
+++ b/src/test/java/garnetscale/controller/JobApiTest.java
@@ -71,6 +71,14 @@
         assertOccurred(occurrences, 50, "cancellation answered done");
     }
 
+    /** A copy of an accepted submission or of a cancellation arrives again, also after the job has ended. */
+    @Test
+    void transactionsThatArriveAgainChangeNothing() {
+        Map<String, Integer> occurrences = simulateSeeds(0.1, 0, cluster -> cluster.repeated = 0.5);
+        assertOccurred(occurrences, 200, "repeat answered 409");
+        assertOccurred(occurrences, 50, "cancellation answered withdrawn", "cancellation answered done");
+    }
+
     /** A transaction is applied but its answer is lost, while the other controllers read what it wrote. */
     @Test
     void outcomeIsReadAgainAfterALostAnswer() {
--- a/src/test/java/garnetscale/controller/ScriptedCluster.java
+++ b/src/test/java/garnetscale/controller/ScriptedCluster.java
@@ -45,6 +45,8 @@
     double answerLost;
     /** Share of transactions that are applied late, without an answer. */
     double late;
+    /** Share of applied transactions of users that arrive again later. */
+    double repeated;
     /** Until this time, in milliseconds of simulated time, the state service refuses every request. */
     long failingUntil;
 
@@ -274,6 +276,7 @@
     void settle() {
         answerLost = 0;
         late = 0;
+        repeated = 0;
         run(now + 60_000);
         for (String id : history.knownJobs()) {
             boolean[] known = new boolean[1];
--- a/src/test/java/garnetscale/controller/ScriptedController.java
+++ b/src/test/java/garnetscale/controller/ScriptedController.java
@@ -4,7 +4,9 @@
 import garnetscale.core.TestConfig;
 import garnetscale.core.state.StateReplica;
 import garnetscale.net.HttpResult;
+import garnetscale.net.HttpStatus;
 import garnetscale.net.Reply;
+import garnetscale.wire.StateCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +16,8 @@
 final class ScriptedController implements StateLink.Io, StateLink.Listener {
 
     private static final long MAX_EXTRA_DELAY_MS = 10_000;
+    /** Maximum time after which an applied transaction arrives again. */
+    private static final int MAX_REPEAT_DELAY_MS = 20_000;
 
     final String name;
     final StateReplica replica = new StateReplica();
@@ -88,6 +92,9 @@
         cluster.at(
                 delayed ? 2000 + cluster.random.nextInt((int) MAX_EXTRA_DELAY_MS) : cluster.networkDelay(),
                 () -> arrive(method, path, body, reply -> {
+                    if (write && reply.status() == HttpStatus.OK) {
+                        repeatLater(body);
+                    }
                     if (delayed) {
                         cluster.countOccurrence(reply.status() == 200 ? "applied late" : "late and rejected");
                     } else if (lost) {
@@ -101,6 +108,20 @@
                 }));
     }
 
+    /** Lets a share of the applied transactions arrive a second time; nobody waits for the answer. */
+    private void repeatLater(byte[] body) {
+        if (cluster.repeated == 0 || cluster.random.nextDouble() >= cluster.repeated) {
+            return;
+        }
+        cluster.at(
+                cluster.random.nextInt(MAX_REPEAT_DELAY_MS),
+                () -> arrive(
+                        HttpMethod.POST,
+                        StateCodec.TRANSACTION_PATH,
+                        body,
+                        reply -> cluster.countOccurrence("repeat answered " + reply.status())));
+    }
+
     /** Handles a request at the service. A watch that is open when a refusal begins is answered when the refusal ends. */
     private void arrive(HttpMethod method, String path, byte[] body, Consumer<Reply> answer) {
         if (isRefused()) {
--- a/src/test/java/garnetscale/core/leader/PartitionAssignerTest.java
+++ b/src/test/java/garnetscale/core/leader/PartitionAssignerTest.java
@@ -26,6 +26,8 @@
 class PartitionAssignerTest {
 
     private static final long TERM = 5;
+    /** Status of a transaction whose guards don't hold. */
+    private static final int CONFLICT = 409;
 
     private final SchedulerConfig config = TestConfig.small()
             .controllers(List.of(
@@ -71,6 +73,25 @@
         assertNull(assigner.plan(now, TERM));
     }
 
+    /**
+     * A copy of a lease transaction arrives after the partition has moved under the same leader. If it were applied, the term would
+     * go back, and no controller would acknowledge the heartbeats of machines that have seen the newer term.
+     */
+    @Test
+    void aRepeatedLeaseTransactionDoesNotRestoreAnOlderTerm() {
+        state.join("n0", 1, "a");
+        state.join("n1", 2, "a");
+        Transaction first = assigner.plan(now, TERM);
+        state.commit(first);
+        assertEquals(CONFLICT, state.service.commit(first), "at once");
+        failureDetector.onPeerReachability(now, "n1", true);
+        assign();
+        PartitionLease moved = replica.partition("a/1");
+        assertEquals(CONFLICT, state.service.commit(first), "after the partition has moved");
+        state.follow();
+        assertEquals(moved, replica.partition("a/1"));
+    }
+
     /**
      * A controller that can't read the stored layout makes no decisions and answers no requests, so its partitions would have
      * no working owner.
--- a/src/test/java/garnetscale/core/leader/ReplicatedState.java
+++ b/src/test/java/garnetscale/core/leader/ReplicatedState.java
@@ -27,6 +27,11 @@
     /** Commits the transaction, which must succeed, and updates the replica. */
     void commit(Transaction transaction) {
         assertEquals(200, service.commit(transaction));
+        follow();
+    }
+
+    /** Updates the replica from a watch. */
+    void follow() {
         replica.advance(service.changes(Keys.REPLICATED, replica.revision()), service.revision());
     }
 
--- a/src/test/java/garnetscale/core/sim/ConcurrentLateTransactionTest.java
+++ b/src/test/java/garnetscale/core/sim/ConcurrentLateTransactionTest.java
@@ -28,6 +28,37 @@
         assertOccurred(occurred, SEEDS, "applied without an answer");
     }
 
+    /**
+     * A copy of an applied transaction arrives up to a minute later. A copy of the first partition leases was applied while the same
+     * leader led: a partition went back to an older term, and no controller acknowledged its machines' heartbeats any more.
+     */
+    @Test
+    void appliedTransactionsArriveAgain() {
+        Map<String, Integer> occurred = play(cluster -> {
+            submitLongJobs(cluster, 6);
+            submitShortJobs(cluster, 25, 90_000);
+            cluster.state.repeatApplied(90_000, 0.5);
+            for (long time = 8000; time < 90_000; time += 17_000) {
+                cluster.at(time, () -> crashController(cluster, cluster.random.nextInt(3) == 0));
+                cluster.at(
+                        time + 1000,
+                        () -> cancelRunning(
+                                cluster, "", machine -> cluster.random.nextInt(6) == 0, "cancelled meanwhile"));
+            }
+        });
+        assertOccurred(occurred, 20 * SEEDS, "repeat rejected");
+        assertOccurred(occurred, 2 * SEEDS, "partition moved within a leader's term");
+    }
+
+    private static void crashController(SimulatedCluster cluster, boolean isLeader) {
+        String crashed = cluster.nodes.stream()
+                .map(node -> node.name)
+                .filter(name -> name.equals(cluster.leader()) == isLeader)
+                .findFirst()
+                .orElseThrow();
+        cluster.crash(crashed, cluster.random.nextBoolean() ? 150 : 3000);
+    }
+
     private static Map<String, Integer> loseAnswers(boolean atOnce) {
         return play(cluster -> {
             submitLongJobs(cluster, 6);
--- a/src/test/java/garnetscale/core/sim/SimulatedCluster.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedCluster.java
@@ -1,6 +1,7 @@
 package garnetscale.core.sim;
 
 import garnetscale.core.Times;
+import garnetscale.core.cluster.FencingTokens;
 import garnetscale.core.cluster.PartitionMap;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.MachineType;
@@ -160,6 +161,9 @@
         rules.checkCancellations();
         StateReplica stored = stored();
         if (stored.leader() != null && stored.leader().term() != lastLeaderTerm) {
+            if (stored.leader().term() < lastLeaderTerm) {
+                rules.violations.add(now + " leader's term fell from " + lastLeaderTerm + " to " + stored.leader());
+            }
             lastLeaderTerm = stored.leader().term();
             countOccurrence("leader changed");
             deliverHeldHeartbeats();
@@ -169,12 +173,23 @@
                     ? 0
                     : stored.partition(partition).term();
             Long before = partitionTerms.put(partition, term);
+            if (before != null && before > term) {
+                rules.violations.add(now + " term of partition " + partition + " fell from " + before + " to " + term);
+            }
             if (before != null && before != term) {
                 partitionMovedAt.put(partition, now);
+                if (before != 0 && isOfSameLeaderTerm(before, term)) {
+                    countOccurrence("partition moved within a leader's term");
+                }
             }
         }
     }
 
+    private static boolean isOfSameLeaderTerm(long partitionTerm, long other) {
+        long termsPerLeader = FencingTokens.MAX_PARTITION_TERMS + 1;
+        return partitionTerm / termsPerLeader == other / termsPerLeader;
+    }
+
     /** Delivers the held heartbeats to every controller and drops the answers. */
     private void deliverHeldHeartbeats() {
         for (WorkerHeartbeat heartbeat : heldHeartbeats) {
--- a/src/test/java/garnetscale/core/sim/SimulatedStateService.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedStateService.java
@@ -19,6 +19,9 @@
 
     private static final int MAX_TRANSACTION_BYTES = 64 * 1024;
 
+    /** Maximum time after which an applied transaction arrives again. */
+    private static final int MAX_REPEAT_DELAY_MS = 60_000;
+
     private final SimulatedCluster cluster;
     final StateModel model;
     private final Map<String, Long> refusedUntil = new HashMap<>();
@@ -37,6 +40,10 @@
 
     double unansweredShare;
     boolean unansweredAppliedAtOnce;
+    /** Time until which a share of the applied transactions arrives again, see {@link #repeatApplied}. */
+    private long repeatedUntil;
+
+    private double repeatedShare;
     /** Time until which each answer takes up to {@link #maxSlowdownMs} longer. */
     long slowUntil;
 
@@ -58,12 +65,20 @@
     }
 
     /**
-     * Applies a transaction of a controller and returns the HTTP status. Checks that the controller supports the layout version
-     * that was active before, and that all registered controllers support a version that the transaction activates.
+     * Applies a transaction of a controller and returns the HTTP status. Checks that a later copy of the transaction would be
+     * rejected, that the controller supports the layout version that was active before, and that all registered controllers support
+     * a version that the transaction activates.
      */
     int commit(SimulatedNode by, Transaction transaction) {
         int active = cluster.stored().version().active();
+        int repeatable = model.repeatable().size();
         int status = commit(transaction);
+        if (model.repeatable().size() > repeatable) {
+            cluster.rules.violations.add(cluster.now + " may be applied again: " + by.name + " sent " + transaction);
+        }
+        if (status == 200 && !transaction.ops().isEmpty()) {
+            repeatLater(transaction);
+        }
         if (status == 200 && !transaction.ops().isEmpty() && !by.layouts.contains(active)) {
             cluster.rules.violations.add(cluster.now + " wrote with an unsupported layout active: " + by.name
                     + " supports " + by.layouts + ", " + active + " was active");
@@ -112,4 +127,25 @@
         unansweredShare = share;
         unansweredAppliedAtOnce = atOnce;
     }
+
+    /**
+     * Lets a share of the transactions that are applied within the next {@code ms} arrive a second time, up to {@link
+     * #MAX_REPEAT_DELAY_MS} later.
+     */
+    void repeatApplied(long ms, double share) {
+        repeatedUntil = cluster.now + ms;
+        repeatedShare = share;
+    }
+
+    private void repeatLater(Transaction transaction) {
+        if (cluster.now >= repeatedUntil || cluster.random.nextDouble() >= repeatedShare) {
+            return;
+        }
+        cluster.at(1 + cluster.random.nextInt(MAX_REPEAT_DELAY_MS), () -> {
+            if (cluster.now >= outageUntil) {
+                boolean isApplied = model.commit(transaction) == 200;
+                cluster.countOccurrence(isApplied ? "repeat applied" : "repeat rejected");
+            }
+        });
+    }
 }
--- a/src/test/java/garnetscale/core/state/LogFixture.java
+++ b/src/test/java/garnetscale/core/state/LogFixture.java
@@ -25,7 +25,8 @@
         this.state = state;
         this.random = new Random(seed);
         for (JobSpec job : jobs) {
-            state.commit(new Transaction().put(Keys.job(job.id()), Records.job(new JobRecord(job, JobState.LIVE, 0))));
+            String key = Keys.job(job.id());
+            state.commit(new Transaction().guard(key, 0).put(key, Records.job(new JobRecord(job, JobState.LIVE, 0))));
         }
         leader.reset(list(Keys.REPLICATED), state.revision());
     }
@@ -35,14 +36,19 @@
         return state.list(prefix, null, ALL_KEYS);
     }
 
-    /** Commits a transaction of the leader and updates the leader's replica. */
+    /**
+     * Commits a transaction of the leader and updates the leader's replica. A copy of the transaction that arrives later must be
+     * rejected: it would bring back older snapshot pages, also if it writes no entry.
+     */
     void commit(Transaction transaction) {
         assertEquals(200, state.commit(transaction), () -> state.oversized().toString());
+        assertEquals(List.of(), state.repeatable(), "may be applied again");
         follow(leader);
     }
 
     void activate(int version) {
-        commit(new Transaction().put(Keys.VERSION, Records.version(new ClusterVersion(version, Layouts.FIRST))));
+        commit(leader.guardVersion(new Transaction())
+                .put(Keys.VERSION, Records.version(new ClusterVersion(version, Layouts.FIRST))));
     }
 
     /** Updates a replica from a watch. */
