Apply the changes of a watch by revision, not in the order of the answer

Cause: ChangeReader applied the changes in the order in which the answer lists them. A removed key leaves no revision in the replica, so an older put of that key later in the list counted as current, and the record of the ended job came back as a live job. The code relied on the oldest change coming first. PROTOCOL promises no order ("a response contains all changes"), and its only example has the newest first.

Why the fix works: the changes of a key then end with the newest one.

The emulated state service takes an order for its answers; all simulations list the changes in any order, by seed.

--- a/src/main/java/garnetscale/core/state/ChangeReader.java
+++ b/src/main/java/garnetscale/core/state/ChangeReader.java
@@ -1,6 +1,7 @@
 package garnetscale.core.state;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -70,14 +71,14 @@
         }
     }
 
-    /** Applies the changes after {@code revision} from a watch; returns false if they can't be read. */
+    /** Applies the changes after {@code revision} from a watch, given in any order; returns false if they can't be read. */
     boolean advance(List<KeyChange> changes, long revision) {
         if (!gate.admits(changes)) {
             return false;
         }
         TreeMap<Long, WorkLog.Entry> entries = new TreeMap<>();
         List<String> removedJobs = new ArrayList<>();
-        if (!readChanges(changes, revision, entries, removedJobs)) {
+        if (!readChanges(oldestFirst(changes), revision, entries, removedJobs)) {
             return false;
         }
         log.advance(entries);
@@ -85,6 +86,17 @@
         return true;
     }
 
+    /**
+     * Returns the changes by revision. The protocol leaves the order of an answer open, and a removed key leaves no revision by which an
+     * older change of it could be told from a newer one. No transaction changes a key twice, so that the order of changes of one
+     * revision doesn't matter.
+     */
+    private static List<KeyChange> oldestFirst(List<KeyChange> changes) {
+        List<KeyChange> sorted = new ArrayList<>(changes);
+        sorted.sort(Comparator.comparingLong(KeyChange::modRevision));
+        return sorted;
+    }
+
     @SuppressWarnings("IllegalCatch") // a malformed record fails to decode in many ways, and all of them close the gate
     private boolean readChanges(
             List<KeyChange> changes, long revision, TreeMap<Long, WorkLog.Entry> entries, List<String> removedJobs) {
@@ -104,7 +116,7 @@
     }
 
     /**
-     * Returns whether a change is at least as recent as what the replica holds. The replica may hold a newer value, since a
+     * Returns whether a change is at least as recent as what the replica holds; changes are passed oldest first. The replica may hold a newer value, since a
      * page of a listing may be newer than the revision from which the watch continues.
      */
     private boolean isCurrent(KeyChange change, long revision) {
--- a/src/main/java/garnetscale/core/state/StateReplica.java
+++ b/src/main/java/garnetscale/core/state/StateReplica.java
@@ -238,7 +238,7 @@
      * Applies the changes from a watch response. Afterwards the replica isn't loaded if a record can't be read, and is
      * inconsistent if work log entries are missing.
      *
-     * @param changes     all changes after {@link #revision()}, in order of revision
+     * @param changes     all changes after {@link #revision()}, or at least the last one of each changed key, in any order
      * @param newRevision the state service's revision after these changes
      * @return false if nothing was applied, because the response is stale or an earlier record couldn't be read
      */
--- a/src/main/java/garnetscale/emulator/StateModel.java
+++ b/src/main/java/garnetscale/emulator/StateModel.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /** An in-memory model of the state service by its published protocol; callers pass in the time in milliseconds. */
 public final class StateModel {
@@ -39,6 +40,9 @@
     private final List<String> repeatable = new ArrayList<>();
 
     private final StateLimits limits;
+    /** Rearranges the changes of an answer. */
+    private Consumer<List<KeyChange>> changeOrder = oldestFirst -> {};
+
     private long revision;
     private long lastLease;
 
@@ -192,14 +196,29 @@
         return page;
     }
 
-    /** Returns the changes of keys with a prefix after the revision {@code since}, oldest first. */
+    /**
+     * Sets the order in which {@link #changes} returns the changes, which the protocol leaves open; without a call, the oldest comes
+     * first.
+     *
+     * @param order rearranges a list of changes, which it gets with the oldest first
+     */
+    public void orderChanges(Consumer<List<KeyChange>> order) {
+        changeOrder = order;
+    }
+
+    /** Returns the changes of keys with a prefix after the revision {@code since}. */
     public List<KeyChange> changes(String prefix, long since) {
         int from = log.size();
         while (from > 0 && log.get(from - 1).modRevision() > since) {
             from--;
         }
-        return log.subList(from, log.size()).stream()
-                .filter(change -> change.key().startsWith(prefix))
-                .toList();
+        List<KeyChange> changes = new ArrayList<>();
+        for (KeyChange change : log.subList(from, log.size())) {
+            if (change.key().startsWith(prefix)) {
+                changes.add(change);
+            }
+        }
+        changeOrder.accept(changes);
+        return changes;
     }
 }
--- a/src/test/java/garnetscale/controller/JobApiTest.java
+++ b/src/test/java/garnetscale/controller/JobApiTest.java
@@ -79,6 +79,22 @@
         assertOccurred(occurrences, 50, "cancellation answered withdrawn", "cancellation answered done");
     }
 
+    /**
+     * Jobs are accepted and end while a controller is cut off, and the answer of its next watch lists the changes in any order. With
+     * the removal of a job's key before the job's record, the ended job was called pending again.
+     */
+    @Test
+    void aControllerThatWasCutOffGivesNoOlderAnswers() {
+        Map<String, Integer> occurrences = simulateSeeds(0, 0, cluster -> {
+            for (int i = 0; i < 3; i++) {
+                ScriptedController controller = cluster.controllers.get(i);
+                cluster.at(4000 + 6000L * i, () -> controller.cutFromStateAndPeers(5000));
+            }
+        });
+        assertOccurred(occurrences, 100, "end of a job not announced", "request at a stale replica");
+        assertOccurred(occurrences, 100, "poll answered done");
+    }
+
     /** A transaction is applied but its answer is lost, while the other controllers read what it wrote. */
     @Test
     void outcomeIsReadAgainAfterALostAnswer() {
--- a/src/test/java/garnetscale/controller/ScriptedCluster.java
+++ b/src/test/java/garnetscale/controller/ScriptedCluster.java
@@ -14,9 +14,11 @@
 import garnetscale.timeline.Timeline;
 import garnetscale.wire.Cbor;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -52,6 +54,9 @@
 
     ScriptedCluster(long seed) {
         super(seed);
+        // A source of its own, so that the order doesn't change what else the seed determines.
+        Random changeOrder = new Random(seed);
+        state.orderChanges(changes -> Collections.shuffle(changes, changeOrder));
         state.commit(new Transaction().put(Keys.TYPES, Records.types(List.of(TYPE))));
         history.refuse(NEVER_SUBMITTED);
         for (int i = 0; i < CONTROLLERS; i++) {
@@ -133,14 +138,23 @@
                             .put(Keys.terminalJob(id), Records.terminalJob(terminal)),
                     (outcome, revision) -> {
                         if (outcome == TransactionOutcome.OK) {
-                            controllers.forEach(controller ->
-                                    at(networkDelay(), () -> controller.jobApi.onTerminated(id, terminal)));
+                            controllers.forEach(
+                                    controller -> at(networkDelay(), () -> notify(controller, id, terminal)));
                         }
                     });
         }
         at(100 + random.nextInt(200), this::endOneJob);
     }
 
+    /** Delivers the leader's message about the end of a job, unless the controller is cut off from the other controllers. */
+    private void notify(ScriptedController controller, String id, Records.TerminalJob terminal) {
+        if (now < controller.cutFromPeersUntil) {
+            countOccurrence("end of a job not announced");
+        } else {
+            controller.jobApi.onTerminated(id, terminal);
+        }
+    }
+
     static Map<String, Object> record(String id) {
         return Records.job(new JobRecord(TestJob.named(id).imageGb(0.5).build(), JobState.LIVE, 0));
     }
--- a/src/test/java/garnetscale/controller/ScriptedController.java
+++ b/src/test/java/garnetscale/controller/ScriptedController.java
@@ -24,6 +24,9 @@
     final StateLink state;
     final JobApi jobApi;
     long refusedUntil;
+    /** Until this time, in milliseconds of simulated time, no message of another controller arrives. */
+    long cutFromPeersUntil;
+
     long confirmedAt = -1;
     private long refusalBegan = Long.MAX_VALUE;
     private final ScriptedCluster cluster;
@@ -52,6 +55,12 @@
         refusedUntil = cluster.now + ms;
     }
 
+    /** Cuts this controller off from the state service and from the other controllers, but not from users. */
+    void cutFromStateAndPeers(long ms) {
+        refuse(ms);
+        cutFromPeersUntil = cluster.now + ms;
+    }
+
     private boolean isRefused() {
         return cluster.now < refusalEnds();
     }
--- a/src/test/java/garnetscale/core/sim/SimulatedCluster.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedCluster.java
@@ -15,11 +15,13 @@
 import garnetscale.core.upgrade.VersionRange;
 import garnetscale.timeline.Timeline;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.BiConsumer;
 
@@ -100,6 +102,9 @@
         this.fault = fault;
         this.shape = shape;
         this.state = new SimulatedStateService(this, shape.valueBytes());
+        // A source of its own, so that the order doesn't change what else the seed determines.
+        Random changeOrder = new Random(seed);
+        state.model.orderChanges(changes -> Collections.shuffle(changes, changeOrder));
         this.rules = new ProtocolRules(Map.of("red", shape.red(), "blue", shape.blue()), zones, CANCEL_MS, () -> now);
         state.model.commit(new Transaction().put(Keys.TYPES, Records.types(shape.types())));
         storedReplica.reset(state.model.list(Keys.REPLICATED, null, 10), state.model.revision());
--- a/src/test/java/garnetscale/core/sim/SimulatedStateService.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedStateService.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Applies a transaction of a controller and returns the HTTP status. Checks that a later copy of the transaction would be
-     * rejected, that the controller supports the layout version that was active before, and that all registered controllers support
+     * Applies a transaction of a controller and returns the HTTP status. Checks that it changes no key twice, that a later copy of it
+     * would be rejected, that the controller supports the layout version that was active before, and that all registered controllers support
      * a version that the transaction activates.
      */
     int commit(SimulatedNode by, Transaction transaction) {
@@ -76,6 +76,12 @@
         if (model.repeatable().size() > repeatable) {
             cluster.rules.violations.add(cluster.now + " may be applied again: " + by.name + " sent " + transaction);
         }
+        long keys =
+                transaction.ops().stream().map(Transaction.Op::key).distinct().count();
+        if (keys < transaction.ops().size()) {
+            cluster.rules.violations.add(
+                    cluster.now + " changes a key twice in one revision: " + by.name + " sent " + transaction);
+        }
         if (status == 200 && !transaction.ops().isEmpty()) {
             repeatLater(transaction);
         }
--- a/src/test/java/garnetscale/core/state/LogFixture.java
+++ b/src/test/java/garnetscale/core/state/LogFixture.java
@@ -8,6 +8,7 @@
 import garnetscale.core.upgrade.ClusterVersion;
 import garnetscale.emulator.StateModel;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 
@@ -24,6 +25,8 @@
     LogFixture(StateModel state, long seed, JobSpec... jobs) {
         this.state = state;
         this.random = new Random(seed);
+        Random changeOrder = new Random(seed);
+        state.orderChanges(changes -> Collections.shuffle(changes, changeOrder));
         for (JobSpec job : jobs) {
             String key = Keys.job(job.id());
             state.commit(new Transaction().guard(key, 0).put(key, Records.job(new JobRecord(job, JobState.LIVE, 0))));
