Don't reconcile machines from a replica that isn't loaded

A peer's heartbeat that names a new leader, or a new link to the leader, reconciled all the same. With an empty replica the owner took its partitions for lost and dropped what it knew of their machines; loaded again under the same term, its fencing tokens began anew, below those that fence a lost start. With an inconsistent listing it would act on missing placements.

Promise relied on: that only loaded contents are read. No caller of PartitionOwner.resynchronize checked it; the tick does now.

--- a/src/main/java/garnetscale/core/partition/PartitionOwner.java
+++ b/src/main/java/garnetscale/core/partition/PartitionOwner.java
@@ -110,7 +110,10 @@
         bids.setWallClockOffset(offset);
     }
 
-    /** Handles a worker's heartbeat and returns the reply. Only an acknowledgement renews the worker's lease. */
+    /**
+     * Handles a worker's heartbeat and returns the reply. Only an acknowledgement renews the worker's lease. Call this only while
+     * the replica is loaded.
+     */
     public HeartbeatReply onHeartbeat(long now, WorkerHeartbeat heartbeat) {
         refreshPartitions(now);
         return workerMessages.onHeartbeat(now, heartbeat);
@@ -192,9 +195,13 @@
     /**
      * Reconciles the machines about which something new is known, sends queued probes and submits bids that are due. Each
      * sweep also reconciles the machines whose state may change with time alone: silent machines and machines with pending
-     * work. While this process may not act for its partitions, only updates the set of owned partitions.
+     * work. While this process may not act for its partitions, only updates the set of owned partitions. Does nothing while the
+     * replica isn't loaded: partitions and placements that it lacks aren't lost.
      */
     public void tick(long now) {
+        if (!replica.isLoaded()) {
+            return;
+        }
         refreshPartitions(now);
         if (!leases.mayAct(now)) {
             return;
--- a/src/test/java/garnetscale/core/partition/OwnerFixture.java
+++ b/src/test/java/garnetscale/core/partition/OwnerFixture.java
@@ -16,12 +16,14 @@
 import garnetscale.core.machine.TaskState;
 import garnetscale.core.machine.TaskStatus;
 import garnetscale.core.machine.WorkerHeartbeat;
+import garnetscale.core.state.KeyChange;
 import garnetscale.core.state.Keys;
 import garnetscale.core.state.LogWriter;
 import garnetscale.core.state.MachineRecord;
 import garnetscale.core.state.Records;
 import garnetscale.core.state.StateReplica;
 import garnetscale.core.state.Transaction;
+import garnetscale.core.upgrade.ClusterVersion;
 import garnetscale.emulator.StateModel;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +39,7 @@
 
     private static final long INCARNATION = 1;
     private static final int LIST_LIMIT = 100;
+    private static final int UNSUPPORTED_VERSION = 99;
 
     final SchedulerConfig config;
     final PartitionOwner owner;
@@ -72,7 +75,14 @@
         return this;
     }
 
-    private void refreshReplica() {
+    /** Makes the replica unreadable and empty, as after the activation of a version that this controller doesn't support. */
+    void unloadReplica() {
+        Object version = Records.version(new ClusterVersion(UNSUPPORTED_VERSION, 1));
+        replica.reset(List.of(new KeyChange(Keys.VERSION, version, 1)), state.revision());
+    }
+
+    /** Loads the replica with what is stored. */
+    void refreshReplica() {
         replica.reset(state.list(Keys.REPLICATED, null, LIST_LIMIT), state.revision());
     }
 
