Keep a scarce machine only for a waiting job that may run on it

Cause: ScarceTypeFilter kept machines of a type for a waiting job by comparing types alone. Zone, spot and the zones of a job's placed tasks weren't looked at, so that a machine made no bid for a started job, and none for the job it was kept for.

Why the fix works: a demand now has its types, its zones as things stand, and whether it allows spot; a machine yields only to one that allows the machine. ZoneConstraints is shared with the leader's own check in TaskPlacer. Teams at their limit were left out before.

--- a/src/main/java/garnetscale/core/bidding/Bidding.java
+++ b/src/main/java/garnetscale/core/bidding/Bidding.java
@@ -121,7 +121,7 @@
     private void updateGroups(JobView job) {
         for (Bidder bidder : representatives) {
             bidder.group.mayBid = JobQueue.allows(bidder.type, bidder.zone, bidder.spot, job.spec())
-                    && scarceTypes.mayBid(job, bidder.type, wallClockMs);
+                    && scarceTypes.mayBid(job, bidder.type, bidder.zone, bidder.spot, wallClockMs);
             bidder.group.fetchS = Estimator.fetchS(job.spec(), bidder.type);
         }
     }
--- a/src/main/java/garnetscale/core/leader/TaskPlacer.java
+++ b/src/main/java/garnetscale/core/leader/TaskPlacer.java
@@ -13,6 +13,7 @@
 import garnetscale.core.machine.Placement;
 import garnetscale.core.queue.JobOrder;
 import garnetscale.core.queue.JobQueue;
+import garnetscale.core.queue.ZoneConstraints;
 import garnetscale.core.state.FreeCapacityCache;
 import garnetscale.core.state.JobView;
 import garnetscale.core.state.StateReplica;
@@ -165,7 +166,7 @@
             draft.place(machine.id, replica.type(machine.status.type()), machine.status.zone(), placement, spec);
             free.take(spec);
             freeCpus -= spec.cpus();
-            if (hasZoneConstraint(spec)) {
+            if (ZoneConstraints.applyTo(spec)) {
                 zones(waiting.job).add(machine.status.zone());
             }
             placed++;
@@ -209,24 +210,10 @@
         });
     }
 
-    private static boolean hasZoneConstraint(JobSpec job) {
-        return job.zoneAffinity() || job.zoneAntiAffinity();
-    }
-
-    /**
-     * Returns whether the job's zone constraints allow another task on the machine. Affinity puts all tasks of a job in one
-     * zone; anti-affinity puts at most half of them, rounded up, in any one zone.
-     */
+    /** Returns whether the job's zone constraints allow another task on the machine. */
     private boolean allowsAnotherInZone(JobView job, MachineState machine) {
-        if (!hasZoneConstraint(job.spec())) {
-            return true;
-        }
-        Multiset<String> zones = zones(job);
-        int inSameZone = zones.count(machine.status.zone());
-        if (job.spec().zoneAffinity() && zones.size() != inSameZone) {
-            return false;
-        }
-        return !job.spec().zoneAntiAffinity() || inSameZone + 1 <= (job.spec().tasks() + 1) / 2;
+        return !ZoneConstraints.applyTo(job.spec())
+                || ZoneConstraints.allowAnother(job.spec(), zones(job), machine.status.zone());
     }
 
     private Multiset<String> zones(JobView job) {
--- a/src/main/java/garnetscale/core/partition/BidSubmitter.java
+++ b/src/main/java/garnetscale/core/partition/BidSubmitter.java
@@ -168,7 +168,7 @@
     private List<Bid> bidsFor(long now, List<JobView> waiting) {
         QuotaUsage quota = QuotaUsage.of(config, replica);
         waiting.removeIf(job -> !quota.allows(job.spec()));
-        scarceTypes.refresh(replica.types(), waiting);
+        scarceTypes.refresh(replica, waiting);
         return new Bidding(replica, estimator, scarceTypes, wallClockMs(now), quarantinedJobs)
                 .bids(waiting, bidders(now, waiting));
     }
--- a/src/main/java/garnetscale/core/queue/ScarceTypeFilter.java
+++ b/src/main/java/garnetscale/core/queue/ScarceTypeFilter.java
@@ -1,21 +1,25 @@
 package garnetscale.core.queue;
 
+import com.google.common.collect.Multiset;
 import garnetscale.core.SchedulerConfig;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.job.Priority;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.state.JobView;
+import garnetscale.core.state.StateReplica;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Keeps scarce machine types for the jobs that can run nowhere else. In plain queue order, an urgent small job takes the capacity
  * of a large machine although a small machine would do, and a large job behind it, which fits no other type, waits until the
  * small job ends. So a machine doesn't bid for a job while another waiting job fits only some of the types that the first job
- * fits, the machine's type among them.
+ * fits, and may run on this very machine as things stand: its type, its zone, spot instance or not, and where the other job's
+ * tasks are placed. A machine that yields to a job which can't run on it would stand empty.
  *
  * <p>A job yields in this way only until its start objective is in danger; then every machine may bid for it again. The exception
  * is a job that has started and is less urgent than the waiting one: it yields as long as the other waits. Otherwise a job of the
@@ -28,13 +32,32 @@
     /** Seconds for which a job without a start objective yields scarce types. */
     private static final double DEFAULT_YIELD_S = 10;
 
+    /** The machines that some of the waiting jobs may run on. */
+    private static final class Demand {
+        /** The types that the jobs fit. */
+        private final Set<String> types;
+        /** The zones in which another task may be placed now. */
+        private final Set<String> zones;
+        /** Whether spot instances may run the jobs. */
+        private final boolean spot;
+
+        private Priority mostUrgent = Priority.LOW;
+
+        private Demand(Set<String> types, Set<String> zones, boolean spot) {
+            this.types = types;
+            this.zones = zones;
+            this.spot = spot;
+        }
+
+        private boolean allows(MachineType type, String zone, boolean isSpot) {
+            return types.contains(type.name()) && zones.contains(zone) && (spot || !isSpot);
+        }
+    }
+
     private final Map<String, Double> yieldSByClass = new HashMap<>();
     private final Map<String, Set<String>> fittingTypesByJob = new HashMap<>();
-    /**
-     * The distinct sets of types that waiting jobs fit, with the most urgent priority of each. There are few sets, no matter how
-     * many jobs wait.
-     */
-    private final Map<Set<String>, Priority> mostUrgentByTypes = new HashMap<>();
+    /** The distinct demands of the waiting jobs. There are few, no matter how many jobs wait. */
+    private final Map<List<Object>, Demand> demands = new HashMap<>();
 
     /** Creates a filter without waiting jobs for the start objectives of the configuration. */
     public ScarceTypeFilter(SchedulerConfig config) {
@@ -45,30 +68,75 @@
         }
     }
 
-    /** Replaces the waiting jobs that {@link #mayBid} considers. */
-    public void refresh(List<MachineType> types, List<JobView> waiting) {
+    /** Replaces the waiting jobs that {@link #mayBid} considers; the replica has their placements. */
+    public void refresh(StateReplica replica, List<JobView> waiting) {
         fittingTypesByJob.clear();
-        mostUrgentByTypes.clear();
+        demands.clear();
+        Set<String> zones = new TreeSet<>();
+        replica.types().forEach(type -> zones.addAll(type.zones()));
+        Map<String, Multiset<String>> placedZones = ZoneConstraints.zonesOfPlacedTasks(replica, constrained(waiting));
+        for (JobView job : waiting) {
+            JobSpec spec = job.spec();
+            Set<String> fitting = fittingTypes(replica.types(), spec);
+            Set<String> allowed = allowedZones(spec, zones, placedZones.get(spec.id()));
+            fittingTypesByJob.put(spec.id(), fitting);
+            Demand demand = demands.computeIfAbsent(
+                    List.of(fitting, allowed, spec.spot()), key -> new Demand(fitting, allowed, spec.spot()));
+            if (spec.priority().compareTo(demand.mostUrgent) < 0) {
+                demand.mostUrgent = spec.priority();
+            }
+        }
+    }
+
+    /** Returns the ids of the jobs whose placed tasks restrict where further ones may be placed. */
+    private static Set<String> constrained(List<JobView> waiting) {
+        Set<String> ids = new HashSet<>();
         for (JobView job : waiting) {
-            Set<String> fitting = new HashSet<>();
-            for (MachineType type : types) {
-                if (type.fits(job.spec())) {
-                    fitting.add(type.name());
-                }
+            if (job.placedCount() > 0 && ZoneConstraints.applyTo(job.spec())) {
+                ids.add(job.spec().id());
+            }
+        }
+        return ids;
+    }
+
+    private static Set<String> fittingTypes(List<MachineType> types, JobSpec spec) {
+        Set<String> fitting = new HashSet<>();
+        for (MachineType type : types) {
+            if (type.fits(spec)) {
+                fitting.add(type.name());
+            }
+        }
+        return fitting;
+    }
+
+    /**
+     * Returns the zones in which another task of the job may be placed now.
+     *
+     * @param placed the zones of the job's placed tasks, or null if they don't matter
+     */
+    private static Set<String> allowedZones(JobSpec spec, Set<String> zones, Multiset<String> placed) {
+        if (spec.zone() == null && placed == null) {
+            return zones;
+        }
+        Set<String> allowed = new TreeSet<>();
+        for (String zone : zones) {
+            if (spec.allowsZone(zone) && (placed == null || ZoneConstraints.allowAnother(spec, placed, zone))) {
+                allowed.add(zone);
             }
-            fittingTypesByJob.put(job.spec().id(), fitting);
-            mostUrgentByTypes.merge(fitting, job.spec().priority(), (a, b) -> a.compareTo(b) < 0 ? a : b);
         }
+        return allowed;
     }
 
     /**
-     * Returns whether a machine of the type may bid for the job, that is, whether the job needn't yield the type to a waiting job
-     * that fits only some of the job's types. Always true for a job that wasn't among the waiting jobs at the last {@link
-     * #refresh}.
+     * Returns whether a machine may bid for the job, that is, whether the job needn't yield the machine to a waiting job that fits
+     * only some of the job's types. Always true for a job that wasn't among the waiting jobs at the last {@link #refresh}.
      *
+     * @param type the machine's type
+     * @param zone the machine's zone
+     * @param isSpot whether the machine is a spot instance
      * @param nowMs wall-clock time in milliseconds
      */
-    public boolean mayBid(JobView job, MachineType type, long nowMs) {
+    public boolean mayBid(JobView job, MachineType type, String zone, boolean isSpot, long nowMs) {
         JobSpec spec = job.spec();
         Set<String> fitting = fittingTypesByJob.get(spec.id());
         if (fitting == null) {
@@ -77,12 +145,11 @@
         double yieldS = yieldSByClass.getOrDefault(spec.jobClass(), DEFAULT_YIELD_S);
         boolean isYielding = nowMs - job.job().submittedMs() <= 1000 * yieldS;
         boolean hasStarted = job.placedCount() + job.finishedCount() > 0;
-        for (Map.Entry<Set<String>, Priority> entry : mostUrgentByTypes.entrySet()) {
-            Set<String> otherFitting = entry.getKey();
-            if (otherFitting.size() < fitting.size()
-                    && otherFitting.contains(type.name())
-                    && fitting.containsAll(otherFitting)
-                    && (isYielding || hasStarted && entry.getValue().compareTo(spec.priority()) < 0)) {
+        for (Demand other : demands.values()) {
+            if (other.types.size() < fitting.size()
+                    && other.allows(type, zone, isSpot)
+                    && fitting.containsAll(other.types)
+                    && (isYielding || hasStarted && other.mostUrgent.compareTo(spec.priority()) < 0)) {
                 return false;
             }
         }
--- a/src/test/java/garnetscale/core/job/TestJob.java
+++ b/src/test/java/garnetscale/core/job/TestJob.java
@@ -11,6 +11,8 @@
     private int tasks = 1;
     private double cpus = 1;
     private List<String> types;
+    private String zone;
+    private boolean spot = true;
     private boolean zoneAffinity;
     private boolean zoneAntiAffinity;
     private double imageGb;
@@ -50,6 +52,16 @@
         return this;
     }
 
+    public TestJob zone(String name) {
+        zone = name;
+        return this;
+    }
+
+    public TestJob spot(boolean value) {
+        spot = value;
+        return this;
+    }
+
     public TestJob zoneAffinity(boolean value) {
         zoneAffinity = value;
         return this;
@@ -86,10 +98,10 @@
                 0,
                 1,
                 types,
-                null,
+                zone,
                 zoneAffinity,
                 zoneAntiAffinity,
-                true,
+                spot,
                 "img",
                 imageGb,
                 estimateS,
