--- a/src/main/java/garnetscale/core/leader/BidRanking.java
+++ b/src/main/java/garnetscale/core/leader/BidRanking.java
@@ -6,6 +6,7 @@
 import garnetscale.core.bidding.Bid;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.machine.MachineType;
+import garnetscale.core.queue.JobQueue;
 import garnetscale.core.state.StateReplica;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -108,6 +109,6 @@
 
     private boolean allows(MachineState machine, JobSpec job) {
         MachineType type = replica.type(machine.status.type());
-        return type.fits(job) && job.allowsZone(machine.status.zone()) && (!machine.status.spot() || job.spot());
+        return JobQueue.allows(type, machine.status.zone(), machine.status.spot(), job);
     }
 }
