--- a/src/main/java/garnetscale/wire/Fields.java
+++ b/src/main/java/garnetscale/wire/Fields.java
@@ -13,6 +13,11 @@
         this.map = map;
     }
 
+    /** Returns the value of a field of any type, or null if the field is missing. */
+    Object value(String name) {
+        return map.get(name);
+    }
+
     String text(String name) throws IOException {
         String text = textOrNull(name);
         if (text == null) {
--- a/src/main/java/garnetscale/wire/StateCodec.java
+++ b/src/main/java/garnetscale/wire/StateCodec.java
@@ -14,7 +14,6 @@
  * Encodes requests to the state service and decodes its answers. Maps the protocol's names to the terms of the code:
  * {@code stamp} is a key's modRevision, {@code ledger} the state service's revision, {@code tenure} a lease, {@code /holds} the
  * leases and {@code /multi} transactions. Decoding an answer throws an {@link IOException} if a field is missing or malformed.
- * The elements of {@code pairs} and {@code log} and their keys are only cast: a wrong type throws a {@link ClassCastException}.
  */
 public final class StateCodec {
 
@@ -133,8 +132,8 @@
         Fields fields = new Fields(Cbor.readMap(body));
         List<KeyChange> listed = new ArrayList<>();
         for (Object element : fields.list("pairs")) {
-            Map<?, ?> pair = (Map<?, ?>) element;
-            listed.add(new KeyChange((String) pair.get("key"), pair.get("v"), new Fields(pair).integer("stamp")));
+            Fields pair = Fields.of(element, "element of pairs");
+            listed.add(new KeyChange(pair.text("key"), pair.value("v"), pair.integer("stamp")));
         }
         return new Batch(listed, fields.integer("ledger"), fields.flagOrFalse("has_next"));
     }
@@ -144,12 +143,12 @@
         Fields fields = new Fields(Cbor.readMap(body));
         List<KeyChange> changes = new ArrayList<>();
         for (Object element : fields.list("log")) {
-            Map<?, ?> change = (Map<?, ?>) element;
-            boolean isPut = change.containsKey("set");
+            Fields change = Fields.of(element, "element of log");
+            String put = change.textOrNull("set");
             changes.add(new KeyChange(
-                    (String) change.get(isPut ? "set" : "remove"),
-                    isPut ? change.get("v") : null,
-                    new Fields(change).integer("stamp")));
+                    put != null ? put : change.text("remove"),
+                    put != null ? change.value("v") : null,
+                    change.integer("stamp")));
         }
         return new Batch(changes, fields.integer("ledger"), false);
     }
