Don't bid for tasks whose job's placed tasks forbid the zone

Cause: Bidding offered machines by type, zone and spot, not by where the job's tasks are placed; the leader rejects such bids.

Not run with processes.

Why the fix works: slots are taken only by jobs that can use them. PlacedZones reads the zones of placed tasks once per batch, and only if a waiting job is constrained; ScarceTypeFilter uses the same.

--- a/src/main/java/garnetscale/core/bidding/Bidding.java
+++ b/src/main/java/garnetscale/core/bidding/Bidding.java
@@ -4,6 +4,7 @@
 import garnetscale.core.machine.FreeCapacity;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.queue.JobQueue;
+import garnetscale.core.queue.PlacedZones;
 import garnetscale.core.queue.ScarceTypeFilter;
 import garnetscale.core.state.JobView;
 import garnetscale.core.state.StateReplica;
@@ -46,6 +47,7 @@
     private final StateReplica replica;
     private final Estimator estimator;
     private final ScarceTypeFilter scarceTypes;
+    private final PlacedZones placedZones;
     private final long wallClockMs;
     private final Set<String> quarantinedJobs;
     private final Map<List<Object>, BidderGroup> groups = new HashMap<>();
@@ -67,6 +69,8 @@
     /**
      * Prepares a batch.
      *
+     * @param placedZones the zones of the waiting jobs' placed tasks; a machine that they forbid doesn't bid, since its slots
+     *     would be missing for jobs that could use them
      * @param wallClockMs wall-clock time in milliseconds
      * @param quarantinedJobs ids of the quarantined jobs, which fail on every machine; one task of such a job is tried at a time
      */
@@ -74,11 +78,13 @@
             StateReplica replica,
             Estimator estimator,
             ScarceTypeFilter scarceTypes,
+            PlacedZones placedZones,
             long wallClockMs,
             Set<String> quarantinedJobs) {
         this.replica = replica;
         this.estimator = estimator;
         this.scarceTypes = scarceTypes;
+        this.placedZones = placedZones;
         this.wallClockMs = wallClockMs;
         this.quarantinedJobs = quarantinedJobs;
     }
@@ -121,6 +127,7 @@
     private void updateGroups(JobView job) {
         for (Bidder bidder : representatives) {
             bidder.group.mayBid = JobQueue.allows(bidder.type, bidder.zone, bidder.spot, job.spec())
+                    && placedZones.allowAnother(job.spec(), bidder.zone)
                     && scarceTypes.mayBid(job, bidder.type, bidder.zone, bidder.spot, wallClockMs);
             bidder.group.fetchS = Estimator.fetchS(job.spec(), bidder.type);
         }
--- a/src/main/java/garnetscale/core/partition/BidSubmitter.java
+++ b/src/main/java/garnetscale/core/partition/BidSubmitter.java
@@ -14,6 +14,7 @@
 import garnetscale.core.machine.WorkerHeartbeat;
 import garnetscale.core.queue.JobOrder;
 import garnetscale.core.queue.JobQueue;
+import garnetscale.core.queue.PlacedZones;
 import garnetscale.core.queue.ScarceTypeFilter;
 import garnetscale.core.quota.QuotaUsage;
 import garnetscale.core.state.FreeCapacityCache;
@@ -168,8 +169,9 @@
     private List<Bid> bidsFor(long now, List<JobView> waiting) {
         QuotaUsage quota = QuotaUsage.of(config, replica);
         waiting.removeIf(job -> !quota.allows(job.spec()));
-        scarceTypes.refresh(replica, waiting);
-        return new Bidding(replica, estimator, scarceTypes, wallClockMs(now), quarantinedJobs)
+        PlacedZones placedZones = new PlacedZones(replica, waiting);
+        scarceTypes.refresh(replica.types(), waiting, placedZones);
+        return new Bidding(replica, estimator, scarceTypes, placedZones, wallClockMs(now), quarantinedJobs)
                 .bids(waiting, bidders(now, waiting));
     }
 
--- a/src/main/java/garnetscale/core/queue/ScarceTypeFilter.java
+++ b/src/main/java/garnetscale/core/queue/ScarceTypeFilter.java
@@ -1,12 +1,10 @@
 package garnetscale.core.queue;
 
-import com.google.common.collect.Multiset;
 import garnetscale.core.SchedulerConfig;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.job.Priority;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.state.JobView;
-import garnetscale.core.state.StateReplica;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -68,17 +66,20 @@
         }
     }
 
-    /** Replaces the waiting jobs that {@link #mayBid} considers; the replica has their placements. */
-    public void refresh(StateReplica replica, List<JobView> waiting) {
+    /**
+     * Replaces the waiting jobs that {@link #mayBid} considers.
+     *
+     * @param placedZones the zones of these jobs' placed tasks
+     */
+    public void refresh(List<MachineType> types, List<JobView> waiting, PlacedZones placedZones) {
         fittingTypesByJob.clear();
         demands.clear();
         Set<String> zones = new TreeSet<>();
-        replica.types().forEach(type -> zones.addAll(type.zones()));
-        Map<String, Multiset<String>> placedZones = ZoneConstraints.zonesOfPlacedTasks(replica, constrained(waiting));
+        types.forEach(type -> zones.addAll(type.zones()));
         for (JobView job : waiting) {
             JobSpec spec = job.spec();
-            Set<String> fitting = fittingTypes(replica.types(), spec);
-            Set<String> allowed = allowedZones(spec, zones, placedZones.get(spec.id()));
+            Set<String> fitting = fittingTypes(types, spec);
+            Set<String> allowed = allowedZones(spec, zones, placedZones);
             fittingTypesByJob.put(spec.id(), fitting);
             Demand demand = demands.computeIfAbsent(
                     List.of(fitting, allowed, spec.spot()), key -> new Demand(fitting, allowed, spec.spot()));
@@ -88,17 +89,6 @@
         }
     }
 
-    /** Returns the ids of the jobs whose placed tasks restrict where further ones may be placed. */
-    private static Set<String> constrained(List<JobView> waiting) {
-        Set<String> ids = new HashSet<>();
-        for (JobView job : waiting) {
-            if (job.placedCount() > 0 && ZoneConstraints.applyTo(job.spec())) {
-                ids.add(job.spec().id());
-            }
-        }
-        return ids;
-    }
-
     private static Set<String> fittingTypes(List<MachineType> types, JobSpec spec) {
         Set<String> fitting = new HashSet<>();
         for (MachineType type : types) {
@@ -109,18 +99,14 @@
         return fitting;
     }
 
-    /**
-     * Returns the zones in which another task of the job may be placed now.
-     *
-     * @param placed the zones of the job's placed tasks, or null if they don't matter
-     */
-    private static Set<String> allowedZones(JobSpec spec, Set<String> zones, Multiset<String> placed) {
-        if (spec.zone() == null && placed == null) {
+    /** Returns the zones in which another task of the job may be placed now. */
+    private static Set<String> allowedZones(JobSpec spec, Set<String> zones, PlacedZones placedZones) {
+        if (spec.zone() == null && !placedZones.restrict(spec)) {
             return zones;
         }
         Set<String> allowed = new TreeSet<>();
         for (String zone : zones) {
-            if (spec.allowsZone(zone) && (placed == null || ZoneConstraints.allowAnother(spec, placed, zone))) {
+            if (spec.allowsZone(zone) && placedZones.allowAnother(spec, zone)) {
                 allowed.add(zone);
             }
         }
--- a/src/main/java/garnetscale/core/queue/ZoneConstraints.java
+++ b/src/main/java/garnetscale/core/queue/ZoneConstraints.java
@@ -1,13 +1,7 @@
 package garnetscale.core.queue;
 
-import com.google.common.collect.HashMultiset;
 import com.google.common.collect.Multiset;
 import garnetscale.core.job.JobSpec;
-import garnetscale.core.machine.Placement;
-import garnetscale.core.state.StateReplica;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Set;
 
 /**
  * The zone constraints of a job with several tasks: affinity puts all of its tasks in one zone; anti-affinity puts at most half of
@@ -34,22 +28,4 @@
         }
         return !job.zoneAntiAffinity() || inSameZone + 1 <= (job.tasks() + 1) / 2;
     }
-
-    /** Returns the zones of the placed tasks of the jobs with these ids, one entry per task; goes over all placements once. */
-    public static Map<String, Multiset<String>> zonesOfPlacedTasks(StateReplica replica, Set<String> jobs) {
-        Map<String, Multiset<String>> zones = new HashMap<>();
-        jobs.forEach(id -> zones.put(id, HashMultiset.create()));
-        if (jobs.isEmpty()) {
-            return zones;
-        }
-        for (String machine : replica.machinesWithRecords()) {
-            for (Placement placement : replica.placements(machine)) {
-                Multiset<String> ofJob = zones.get(placement.task().job());
-                if (ofJob != null) {
-                    ofJob.add(replica.zoneOfMachine(machine));
-                }
-            }
-        }
-        return zones;
-    }
 }
--- a/src/test/java/garnetscale/core/bidding/BiddingTest.java
+++ b/src/test/java/garnetscale/core/bidding/BiddingTest.java
@@ -10,7 +10,9 @@
 import garnetscale.core.job.TestJob;
 import garnetscale.core.machine.FreeCapacity;
 import garnetscale.core.machine.MachineType;
+import garnetscale.core.queue.PlacedZones;
 import garnetscale.core.queue.ScarceTypeFilter;
+import garnetscale.core.state.JobView;
 import garnetscale.core.state.KeyChange;
 import garnetscale.core.state.Keys;
 import garnetscale.core.state.Records;
@@ -53,8 +55,9 @@
                 .controllers(List.of())
                 .workers(1000, 10_000, 40_000)
                 .build());
-        return new Bidding(replica, new Estimator(1000), scarceTypes, 0, Set.of())
-                .bids(List.copyOf(replica.jobs()), bidders);
+        List<JobView> waiting = List.copyOf(replica.jobs());
+        PlacedZones placedZones = new PlacedZones(replica, waiting);
+        return new Bidding(replica, new Estimator(1000), scarceTypes, placedZones, 0, Set.of()).bids(waiting, bidders);
     }
 
     /**
--- a/src/test/java/garnetscale/core/queue/ScarceTypeFilterTest.java
+++ b/src/test/java/garnetscale/core/queue/ScarceTypeFilterTest.java
@@ -11,6 +11,7 @@
 import garnetscale.core.job.TestJob;
 import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
+import garnetscale.core.state.JobView;
 import garnetscale.core.state.Keys;
 import garnetscale.core.state.LogWriter;
 import garnetscale.core.state.MachineRecord;
@@ -72,7 +73,8 @@
     private void assertMayBid(boolean isSpot, boolean inZoneA, boolean inZoneB) {
         ScarceTypeFilter filter =
                 new ScarceTypeFilter(TestConfig.small().controllers(List.of()).build());
-        filter.refresh(replica, List.copyOf(replica.jobs()));
+        List<JobView> waiting = List.copyOf(replica.jobs());
+        filter.refresh(replica.types(), waiting, new PlacedZones(replica, waiting));
         assertEquals(inZoneA, filter.mayBid(replica.job(SMALL_JOB), LARGE, "a", isSpot, LATER_MS), "zone a");
         assertEquals(inZoneB, filter.mayBid(replica.job(SMALL_JOB), LARGE, "b", isSpot, LATER_MS), "zone b");
     }
