Reopen one watch only after a listing

Seen by the review while reading: a watch that is open while the replica is listed again was reopened afterwards beside the one that the listing opens, so that each such listing added a watch. It cost requests only. Each listing now begins a new series, and watches of earlier ones end with their answer.

Test, seen to fail before: StateLinkRelistTest.oneWatchIsOpenAfterAListingDuringWhichAnOlderOneWasOpen.

--- a/src/main/java/garnetscale/controller/ReplicaWatch.java
+++ b/src/main/java/garnetscale/controller/ReplicaWatch.java
@@ -36,6 +36,9 @@
     private final ReplicaListing listing;
     private final ReplicaListener listener;
     private final TokenBucket bucket;
+    /** Number of the series of watches that is reopened; each listing begins another. */
+    private int series;
+
     private List<Consumer<Boolean>> pendingSyncs = new ArrayList<>();
     private boolean syncing;
     private boolean syncScheduled;
@@ -63,24 +66,31 @@
         return connection.describe(bucket);
     }
 
-    /** Opens the watch and reopens it after each answer, until a listing starts; to be called again after each listing. */
+    /**
+     * Opens the watch and reopens it after each answer, until a listing starts; to be called again after each listing. A watch that
+     * is still open from before the listing isn't reopened.
+     */
     void watch() {
-        if (listing.isRunning()) {
+        series++;
+        open(series);
+    }
+
+    /** Opens the watch, unless a listing is running or a later series has begun. */
+    private void open(int openedSeries) {
+        if (listing.isRunning() || openedSeries != series) {
             return;
         }
         long waitMs = bucket.waitMs(connection.now(), 1);
         if (waitMs > 0) {
-            connection.after(waitMs, this::watch);
+            connection.after(waitMs, () -> open(openedSeries));
             return;
         }
         bucket.takeUnconditionally(connection.now(), 1);
         fetchChanges(WATCH_MS, WATCH_TIMEOUT_MS, complete -> {
-            if (!listing.isRunning()) {
-                if (complete) {
-                    watch();
-                } else {
-                    connection.retryAfter(WATCH_RETRY_MS, this::watch);
-                }
+            if (complete) {
+                open(openedSeries);
+            } else if (!listing.isRunning()) {
+                connection.retryAfter(WATCH_RETRY_MS, () -> open(openedSeries));
             }
         });
     }
--- a/src/test/java/garnetscale/controller/StateLinkRelistTest.java
+++ b/src/test/java/garnetscale/controller/StateLinkRelistTest.java
@@ -97,4 +97,21 @@
         assertEquals(List.of(1_000_000L, 1_000_100L), confirmations.sentAt, "as of the sending of the new listing");
         assertEquals(RELISTED_REVISION, replica.revision());
     }
+
+    /** A watch that was open during a listing was opened again beside the one after the listing, and so on with each listing. */
+    @Test
+    void oneWatchIsOpenAfterAListingDuringWhichAnOlderOneWasOpen() {
+        StateLink link = started();
+        ManualIo.Call older = io.take("/follow");
+        link.sync(complete -> {});
+        io.take("/follow").done().accept(HttpResult.answered(GONE, new byte[0]));
+        list(RELISTED_REVISION);
+        ManualIo.Call newer = io.take("/follow");
+
+        older.done().accept(ok(Map.of("ledger", RELISTED_REVISION, "log", List.of())));
+        assertFalse(io.isPending("/follow"), "the older watch is opened again");
+
+        newer.done().accept(ok(Map.of("ledger", RELISTED_REVISION, "log", List.of())));
+        assertTrue(io.isPending("/follow"), "the newer watch is opened again");
+    }
 }
