Ignore unknown fields however deeply they are nested

Seen by the review: an unknown field nested more than 32 deep got 400, though unknown fields are to be ignored. Maps and lists below the 32nd level are skipped without recursion now and read as empty ones; no field of the protocol is nested that deep.

Test, seen to fail before: CborNestingTest.theOtherFieldsOfADeeplyNestedBodyAreRead (65,000 levels).

--- a/src/main/java/garnetscale/wire/Cbor.java
+++ b/src/main/java/garnetscale/wire/Cbor.java
@@ -14,9 +14,12 @@
  */
 public final class Cbor {
 
+    /** Every level takes a byte, and bodies of workers and users have at most 64 KiB (PROTOCOL). */
+    private static final int MAX_NESTING = 64 * 1024;
+
     private static final CBORFactory FACTORY = CBORFactory.builder()
             .streamReadConstraints(
-                    StreamReadConstraints.builder().maxNestingDepth(32).build())
+                    StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).build())
             .build();
 
     private Cbor() {}
--- a/src/main/java/garnetscale/wire/Trees.java
+++ b/src/main/java/garnetscale/wire/Trees.java
@@ -15,10 +15,16 @@
  */
 public final class Trees {
 
+    /**
+     * Number of nested maps and lists that are read; those inside them are skipped. The fields of the protocol are nested less, and
+     * unknown fields are ignored. The limit bounds the recursion, and with it the stack.
+     */
+    private static final int MAX_DEPTH = 32;
+
     private Trees() {}
 
     /**
-     * Reads exactly one value.
+     * Reads exactly one value. Maps and lists that are nested more than {@link #MAX_DEPTH} deep are read as empty ones.
      *
      * @throws IOException if there is no value, or it is truncated, of another type or followed by another value
      */
@@ -26,38 +32,19 @@
         if (parser.nextToken() == null) {
             throw new IOException("empty body");
         }
-        Object value = value(parser);
+        Object value = value(parser, 0);
         if (parser.nextToken() != null) {
             throw new IOException("more than one value");
         }
         return value;
     }
 
-    private static Object value(JsonParser parser) throws IOException {
+    /** Reads the value at the current token, which is nested in {@code depth} maps and lists. */
+    private static Object value(JsonParser parser, int depth) throws IOException {
         JsonToken token = parser.currentToken();
         return switch (token) {
-            case START_OBJECT -> {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (parser.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = parser.currentName();
-                    parser.nextToken();
-                    map.put(name, value(parser));
-                }
-                if (parser.currentToken() != JsonToken.END_OBJECT) {
-                    throw new IOException("map cut short");
-                }
-                yield map;
-            }
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    if (parser.currentToken() == null) {
-                        throw new IOException("list cut short");
-                    }
-                    list.add(value(parser));
-                }
-                yield list;
-            }
+            case START_OBJECT -> depth < MAX_DEPTH ? map(parser, depth + 1) : skipped(parser, Map.of());
+            case START_ARRAY -> depth < MAX_DEPTH ? list(parser, depth + 1) : skipped(parser, List.of());
             case VALUE_STRING -> parser.getText();
             case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
             case VALUE_TRUE -> true;
@@ -67,6 +54,36 @@
         };
     }
 
+    private static Map<String, Object> map(JsonParser parser, int depth) throws IOException {
+        Map<String, Object> map = new LinkedHashMap<>();
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            String name = parser.currentName();
+            parser.nextToken();
+            map.put(name, value(parser, depth));
+        }
+        if (parser.currentToken() != JsonToken.END_OBJECT) {
+            throw new IOException("map cut short");
+        }
+        return map;
+    }
+
+    private static List<Object> list(JsonParser parser, int depth) throws IOException {
+        List<Object> list = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            if (parser.currentToken() == null) {
+                throw new IOException("list cut short");
+            }
+            list.add(value(parser, depth));
+        }
+        return list;
+    }
+
+    /** Skips the map or list at the current token without recursion, and returns {@code empty} in its place. */
+    private static Object skipped(JsonParser parser, Object empty) throws IOException {
+        parser.skipChildren();
+        return empty;
+    }
+
     /**
      * Writes a value.
      *
