--- a/src/main/java/garnetscale/core/autoscaling/DemandPlanner.java
+++ b/src/main/java/garnetscale/core/autoscaling/DemandPlanner.java
@@ -107,13 +107,10 @@
     }
 
     private static int takeQuota(JobView job, Set<String> quarantinedJobs, QuotaUsage quota) {
-        int tasks = 0;
         int limit =
                 quarantinedJobs.contains(job.spec().id()) ? Math.min(1, job.unstartedCount()) : job.unstartedCount();
-        while (tasks < limit && quota.allows(job.spec())) {
-            quota.add(job.spec(), 1);
-            tasks++;
-        }
+        int tasks = quota.allowedTasks(job.spec(), limit);
+        quota.add(job.spec(), tasks);
         return tasks;
     }
 
--- a/src/main/java/garnetscale/core/quota/QuotaUsage.java
+++ b/src/main/java/garnetscale/core/quota/QuotaUsage.java
@@ -55,6 +55,29 @@
                 && gpus(job.team()) + job.gpus() <= team.gpusMax() + MachineType.EPSILON;
     }
 
+    /**
+     * Returns how many more tasks of the job stay within its team's limit, at most {@code tasks}; 0 for an unknown team. Takes the
+     * same time for any number of tasks.
+     */
+    public int allowedTasks(JobSpec job, int tasks) {
+        SchedulerConfig.Team team = teams.get(job.team());
+        if (team == null) {
+            return 0;
+        }
+        double byCpus = tasksWithin(team.cpusMax() - cpus(job.team()), job.cpus());
+        double byGpus = tasksWithin(team.gpusMax() - gpus(job.team()), job.gpus());
+        return (int) Math.min(tasks, Math.min(byCpus, byGpus));
+    }
+
+    /** Returns how many tasks fit into an amount that is left of a limit; infinite for tasks that take none of it. */
+    private static double tasksWithin(double left, double perTask) {
+        double available = left + MachineType.EPSILON;
+        if (available < 0) {
+            return 0;
+        }
+        return perTask > 0 ? Math.floor(available / perTask) : Double.POSITIVE_INFINITY;
+    }
+
     /** Returns whether the job's team uses more than its guarantee, so that its tasks may be preempted for other teams. */
     public boolean borrows(JobSpec job) {
         SchedulerConfig.Team team = teams.get(job.team());
