--- a/src/test/java/garnetscale/cli/OperatorCommandTest.java
+++ b/src/test/java/garnetscale/cli/OperatorCommandTest.java
@@ -5,24 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetscale.controller.ClusterInspector;
-import garnetscale.core.SchedulerConfig;
-import garnetscale.core.TestConfig;
-import garnetscale.core.cluster.ControllerInfo;
+import garnetscale.controller.InspectedLeader;
 import garnetscale.core.cluster.LeaderInfo;
-import garnetscale.core.cluster.PartitionLease;
-import garnetscale.core.cluster.PartitionMap;
-import garnetscale.core.job.JobRecord;
 import garnetscale.core.job.JobState;
-import garnetscale.core.job.TestJob;
-import garnetscale.core.leader.Leader;
 import garnetscale.core.state.Keys;
-import garnetscale.core.state.Layouts;
 import garnetscale.core.state.Records;
-import garnetscale.core.state.StateReplica;
 import garnetscale.core.state.Transaction;
 import garnetscale.core.upgrade.ClusterVersion;
 import garnetscale.core.upgrade.VersionRange;
-import garnetscale.emulator.StateModel;
 import garnetscale.net.PeerLinks;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
@@ -43,17 +33,7 @@
 
     private static final long LONGER_THAN_ACTIVATION_DELAY_MS = 1_000_000;
 
-    private final SchedulerConfig config = TestConfig.small()
-            .controllers(List.of(
-                    new SchedulerConfig.ControllerAddress("n0", "a", ""),
-                    new SchedulerConfig.ControllerAddress("n1", "a", "10.0.0.2:8081")))
-            .teams(new SchedulerConfig.Team("red", 8, 64, 0, Double.POSITIVE_INFINITY))
-            .build();
-    private final StateModel state = new StateModel();
-    private final long lease = state.grantLease(0, Long.MAX_VALUE / 4);
-    private final StateReplica replica = new StateReplica();
-    private final PartitionMap partitions = new PartitionMap(config);
-    private final Leader leader = new Leader(config, replica, partitions, line -> {});
+    private final InspectedLeader cluster = new InspectedLeader();
     private final EventLoopGroup loop = new NioEventLoopGroup(1);
     private final StringWriter out = new StringWriter();
     private final StringWriter err = new StringWriter();
@@ -63,25 +43,12 @@
 
     @BeforeEach
     void start() {
-        state.commit(new Transaction()
-                .put(
-                        Keys.controller("n0"),
-                        Records.controller(new ControllerInfo("n0", lease, "a", Layouts.SUPPORTED)),
-                        lease)
-                .put(Keys.LEADER, Records.leader(new LeaderInfo("n0", lease, 3)), lease)
-                .put(Keys.partition("a/0"), Records.partition(new PartitionLease("n0", lease, 17)))
-                .put(
-                        Keys.job("wk-1"),
-                        Records.job(new JobRecord(
-                                TestJob.named("wk-1").team("red").tasks(5).build(), JobState.LIVE, 0))));
-        replica.reset(state.list(Keys.REPLICATED, null, 100), state.revision());
-        leader.onLeaseChanged(lease);
         ClusterInspector inspector = new ClusterInspector(
-                config,
-                partitions,
+                cluster.config,
+                cluster.partitions,
                 new ClusterInspector.Sources(
-                        replica,
-                        leader,
+                        cluster.replica,
+                        cluster.leader,
                         () -> now,
                         () -> new ClusterInspector.ProcessView(true, 0, Map.of()),
                         job -> job.unstartedCount() + " tasks wait for room",
@@ -116,11 +83,6 @@
                 .execute(args);
     }
 
-    private void commit(Transaction transaction) {
-        assertEquals(200, state.commit(transaction));
-        replica.advance(state.changes(Keys.REPLICATED, replica.revision()), state.revision());
-    }
-
     @Test
     void statusShowsTheCluster() {
         assertEquals(0, run("status", address));
@@ -129,7 +91,7 @@
                 "leader: n0",
                 "leader_term: 3",
                 "  active: 1",
-                "  node n0  zone a  incarnation " + lease + "  versions 1 to 2",
+                "  node n0  zone a  incarnation " + cluster.lease + "  versions 1 to 2",
                 "  block a/0  holder n0  term 17",
                 "  block a/1  holder none  term 0",
                 "  team red  jobs 1  waiting 5  placed 0  cpus 0.0  cpus_guaranteed 8.0  cpus_max 64.0  gpus 0.0  gpus_max none")) {
@@ -151,27 +113,28 @@
 
     @Test
     void onlyTheLeaderCarriesOutUpgradeSteps() {
-        leader.plan(now);
+        cluster.leader.plan(now);
         assertEquals(1, run("upgrade", "activate", address));
         assertTrue(
                 err.toString().startsWith("garnetscale: refused: controller n0 has been there for "), err.toString());
         now += LONGER_THAN_ACTIVATION_DELAY_MS;
         assertEquals(1, run("upgrade", "activate", address, "--timeout", "0"));
         assertEquals("garnetscale: not carried out yet; ask again\n", err.toString());
-        commit(leader.plan(now));
-        assertEquals(new ClusterVersion(2, 1), replica.version());
+        cluster.commit(cluster.leader.plan(now));
+        assertEquals(new ClusterVersion(2, 1), cluster.replica.version());
         assertEquals(0, run("upgrade", "activate", address));
         assertTrue(out.toString().contains("active: 2"), out.toString());
-        commit(new Transaction().put(Keys.LEADER, Records.leader(new LeaderInfo("n1", lease, 4)), lease));
+        cluster.commit(new Transaction()
+                .put(Keys.LEADER, Records.leader(new LeaderInfo("n1", cluster.lease, 4)), cluster.lease));
         assertEquals(1, run("upgrade", "finalize", address));
         assertEquals(
                 "garnetscale: refused: this controller isn't the leader; n1 is, at 10.0.0.2:8081\n", err.toString());
-        assertEquals(new ClusterVersion(2, 1), replica.version());
+        assertEquals(new ClusterVersion(2, 1), cluster.replica.version());
     }
 
     @Test
     void controllerReportsUnsupportedActiveVersion() {
-        commit(new Transaction().put(Keys.VERSION, Records.version(new ClusterVersion(9, 1))));
+        cluster.commit(new Transaction().put(Keys.VERSION, Records.version(new ClusterVersion(9, 1))));
         assertEquals(0, run("upgrade", "status", address));
         assertTrue(out.toString().contains("version 9, and this controller supports " + new VersionRange(1, 2)));
         assertEquals(1, run("upgrade", "finalize", address));
--- a/src/test/java/garnetscale/controller/ClusterInspectorJsonTest.java
+++ b/src/test/java/garnetscale/controller/ClusterInspectorJsonTest.java
@@ -2,56 +2,33 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import garnetscale.core.SchedulerConfig;
-import garnetscale.core.TestConfig;
-import garnetscale.core.cluster.ControllerInfo;
-import garnetscale.core.cluster.LeaderInfo;
-import garnetscale.core.cluster.PartitionLease;
-import garnetscale.core.cluster.PartitionMap;
-import garnetscale.core.job.JobRecord;
 import garnetscale.core.job.JobState;
 import garnetscale.core.job.TaskId;
-import garnetscale.core.job.TestJob;
-import garnetscale.core.leader.Leader;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.state.Keys;
-import garnetscale.core.state.Layouts;
 import garnetscale.core.state.LogWriter;
 import garnetscale.core.state.MachineRecord;
 import garnetscale.core.state.Records;
-import garnetscale.core.state.StateReplica;
 import garnetscale.core.state.Transaction;
 import garnetscale.core.upgrade.ClusterVersion;
-import garnetscale.emulator.StateModel;
 import garnetscale.peer.PeerMessage;
 import garnetscale.peer.PeerMessage.OperatorRequest.Kind;
 import garnetscale.peer.PeerMessage.OperatorResponse.Outcome;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** The exact JSON that operators get: their scripts read its keys, and people rely on the order of the fields. */
 class ClusterInspectorJsonTest {
 
-    private final SchedulerConfig config = TestConfig.small()
-            .controllers(List.of(
-                    new SchedulerConfig.ControllerAddress("n0", "a", ""),
-                    new SchedulerConfig.ControllerAddress("n1", "a", "10.0.0.2:8081")))
-            .teams(new SchedulerConfig.Team("red", 8, 64, 0, Double.POSITIVE_INFINITY))
-            .build();
-    private final StateModel state = new StateModel();
-    private final long lease = state.grantLease(0, Long.MAX_VALUE / 4);
-    private final StateReplica replica = new StateReplica();
-    private final PartitionMap partitions = new PartitionMap(config);
-    private final Leader leader = new Leader(config, replica, partitions, line -> {});
+    private final InspectedLeader cluster = new InspectedLeader();
     private final ClusterInspector inspector = new ClusterInspector(
-            config,
-            partitions,
+            cluster.config,
+            cluster.partitions,
             new ClusterInspector.Sources(
-                    replica,
-                    leader,
+                    cluster.replica,
+                    cluster.leader,
                     () -> 0,
                     () -> new ClusterInspector.ProcessView(true, 7, Map.of("reads", Map.of("per_s", 2.5))),
                     job -> job.unstartedCount() == 0 ? null : "waits",
@@ -59,25 +36,6 @@
                             !id.equals("wk-9"),
                             id.equals("wk-0") ? new Records.TerminalJob(JobState.DONE, 4, 4, "red") : null)));
 
-    @BeforeEach
-    void store() {
-        state.commit(new Transaction()
-                .put(
-                        Keys.controller("n0"),
-                        Records.controller(new ControllerInfo("n0", lease, "a", Layouts.SUPPORTED)),
-                        lease)
-                .put(Keys.LEADER, Records.leader(new LeaderInfo("n0", lease, 3)), lease)
-                .put(Keys.partition("a/0"), Records.partition(new PartitionLease("n0", lease, 17)))
-                .put(Keys.job("wk-1"), job("wk-1", 5)));
-        replica.reset(state.list(Keys.REPLICATED, null, 100), state.revision());
-        leader.onLeaseChanged(lease);
-    }
-
-    private static Map<String, Object> job(String id, int tasks) {
-        return Records.job(
-                new JobRecord(TestJob.named(id).team("red").tasks(tasks).build(), JobState.LIVE, 0));
-    }
-
     private PeerMessage.OperatorResponse ask(Kind kind, String argument) {
         List<PeerMessage.OperatorResponse> answers = new ArrayList<>();
         inspector.answer(new PeerMessage.OperatorRequest(kind, argument), answers::add);
@@ -87,7 +45,7 @@
 
     @Test
     void status() {
-        String partitionsJson = partitions.all().stream()
+        String partitionsJson = cluster.partitions.all().stream()
                 .map(name -> "{\"block\":\"" + name
                         + (name.equals("a/0")
                                 ? "\",\"holder\":\"n0\",\"term\":17}"
@@ -100,7 +58,7 @@
                 "{\"node\":\"n0\",\"complete\":true,\"ready\":true,\"state_age_ms\":7,"
                         + "\"budgets\":{\"reads\":{\"per_s\":2.5}},\"leader\":\"n0\",\"leader_term\":3,"
                         + "\"version\":{\"active\":1,\"floor\":1,\"converted\":true,\"supported_here\":\"1 to 2\"},"
-                        + "\"controllers\":[{\"node\":\"n0\",\"zone\":\"a\",\"incarnation\":" + lease
+                        + "\"controllers\":[{\"node\":\"n0\",\"zone\":\"a\",\"incarnation\":" + cluster.lease
                         + ",\"versions\":\"1 to 2\"}],"
                         + "\"blocks\":[" + partitionsJson + "],\"machines_with_records\":0,"
                         + "\"teams\":[{\"team\":\"red\",\"jobs\":1,\"waiting\":5,\"placed\":0,\"cpus\":0.0,"
@@ -110,10 +68,9 @@
 
     @Test
     void unreadableState() {
-        state.commit(new Transaction().put(Keys.VERSION, Records.version(new ClusterVersion(9, 1))));
-        replica.advance(state.changes(Keys.REPLICATED, replica.revision()), state.revision());
+        cluster.commit(new Transaction().put(Keys.VERSION, Records.version(new ClusterVersion(9, 1))));
         String json = ask(Kind.STATUS, "").json();
-        String start = "{\"node\":\"n0\",\"complete\":false,\"unreadable\":\"" + replica.unreadable()
+        String start = "{\"node\":\"n0\",\"complete\":false,\"unreadable\":\"" + cluster.replica.unreadable()
                 + "\",\"ready\":true,\"state_age_ms\":7,";
         assertEquals(start, json.substring(0, start.length()));
     }
@@ -144,10 +101,9 @@
     private void place(String machine, Placement.Stop stop, int task) {
         Placement placement = new Placement(new TaskId("wk-1", task), task + 1, 1, stop);
         Transaction transaction = new Transaction();
-        new LogWriter(replica, config.maxValueBytes())
+        new LogWriter(cluster.replica, cluster.config.maxValueBytes())
                 .write(transaction, Map.of(machine, new MachineRecord("a", List.of(placement), Map.of())), Map.of());
-        assertEquals(200, state.commit(transaction));
-        replica.advance(state.changes(Keys.REPLICATED, replica.revision()), state.revision());
+        cluster.commit(transaction);
     }
 
     @Test
