--- a/review/lib-2/CloudStandIn.java
+++ b/review/lib-2/CloudStandIn.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,7 +11,15 @@
 /** The cloud of PROTOCOL: lists the running machines with the lag of the settings, deletes them, and has no more to give. */
 public final class CloudStandIn {
     public final int port;
+    /** How many more machines the cloud has to give, ordinary and spot ones alike. */
+    public volatile int capacity;
+    /** How long a rented machine boots, in seconds. */
+    public volatile double bootS = 2;
+    /** How many requests for machines have come. */
+    public volatile int requests;
     private final World world;
+    private final Map<String, Map<String, Object>> answered = new HashMap<>();
+    private int lastRented = 900;
 
     CloudStandIn(World world) throws IOException {
         this.world = world;
@@ -53,7 +62,7 @@
                             row.put("address", worker.address);
                             row.put("breed", worker.type.name());
                             row.put("field", worker.zone);
-                            row.put("windfall", false);
+                            row.put("windfall", worker.spot);
                             row.put("mood", mood);
                             row.put("age_s", worker.ageS());
                             rows.add(row);
@@ -61,7 +70,7 @@
                     });
             World.reply(exchange, 200, Map.of("hives", rows, "has_next", false));
         } else if (path.equals("/machines")) {
-            World.reply(exchange, 503, Map.of("error", "no capacity"));
+            World.reply(exchange, capacity > 0 ? 200 : 503, rent(Cbor.readMap(body)));
         } else {
             List<?> names = (List<?>) Cbor.readMap(body).get("hives");
             world.log("cloud deletes " + names);
@@ -73,4 +82,41 @@
             World.reply(exchange, 200, Map.of());
         }
     }
+
+    /** Rents machines; an answered request that is repeated gets the same answer. */
+    private synchronized Map<String, Object> rent(Map<?, ?> request) {
+        requests++;
+        world.log("cloud is asked for machines: " + request);
+        if (answered.containsKey((String) request.get("ask"))) {
+            return answered.get((String) request.get("ask"));
+        }
+        if (capacity <= 0) {
+            return Map.of("error", "no capacity");
+        }
+        List<Object> ids = new ArrayList<>();
+        int count = Math.min(capacity, ((Number) request.get("how_many")).intValue());
+        for (int i = 0; i < count; i++) {
+            capacity--;
+            String id = "m-%06d".formatted(++lastRented);
+            ids.add(id);
+            world.pool.execute(() -> boot(id, request));
+        }
+        Map<String, Object> answer = Map.of("hives", ids);
+        answered.put((String) request.get("ask"), answer);
+        return answer;
+    }
+
+    private void boot(String id, Map<?, ?> request) {
+        try {
+            Thread.sleep((long) (1000 * bootS));
+            World.MachineType type = world.types.stream()
+                    .filter(known -> known.name().equals(request.get("breed")))
+                    .findFirst()
+                    .orElseThrow();
+            world.startWorker(id, (String) request.get("field"), type, (Boolean) request.get("windfall"));
+            world.log("machine is up: " + id);
+        } catch (InterruptedException | IOException e) {
+            world.log("machine never comes up: " + id);
+        }
+    }
 }
--- a/review/lib-2/Worker.java
+++ b/review/lib-2/Worker.java
@@ -34,6 +34,7 @@
     public final String id;
     public final String zone;
     public final World.MachineType type;
+    public final boolean spot;
     public final String address;
     private final World world;
     private final double bornS;
@@ -53,14 +54,16 @@
     private int target;
     private volatile boolean deleted;
     private volatile double diedS = -1;
+    private volatile double takenS = -1;
     /** Whether the machine stands still: it neither reports nor answers, and its tasks don't go on. */
     public volatile boolean reportsStopped;
 
-    Worker(World world, String id, String zone, World.MachineType type) throws IOException {
+    Worker(World world, String id, String zone, World.MachineType type, boolean spot) throws IOException {
         this.world = world;
         this.id = id;
         this.zone = zone;
         this.type = type;
+        this.spot = spot;
         this.bornS = world.seconds();
         this.leaseFromS = bornS;
         this.target = (int) (Math.random() * world.nodes.size());
@@ -79,14 +82,14 @@
 
     /** How the cloud lists the machine; null if it doesn't. A dead machine is listed as running for 30 s more. */
     public String listedAs() {
-        if (deleted) {
+        if (deleted || takenS >= 0 && world.seconds() - takenS > world.listLagS) {
             return null;
         }
         return diedS >= 0 && world.seconds() - diedS > 30 ? "failed" : "running";
     }
 
     public boolean isUp() {
-        return !deleted && diedS < 0;
+        return !deleted && diedS < 0 && takenS < 0;
     }
 
     public synchronized void delete() {
@@ -94,6 +97,13 @@
         endAll("its machine was deleted");
     }
 
+    /** The cloud takes a spot machine back without a notice; it no longer lists it, once the list has caught up. */
+    public synchronized void take() {
+        takenS = world.seconds();
+        endAll("its machine was taken");
+        world.log("machine taken: " + id);
+    }
+
     /** The machine stops with all that is on it. */
     public synchronized void die() {
         diedS = world.seconds();
@@ -301,7 +311,7 @@
         row.put("address", address);
         row.put("breed", type.name());
         row.put("field", zone);
-        row.put("windfall", false);
+        row.put("windfall", spot);
         row.put("shift", shift);
         row.put("tick", ++tick);
         row.put("baton", baton);
--- a/review/lib-2/World.java
+++ b/review/lib-2/World.java
@@ -365,7 +365,12 @@
 
     /** Starts a machine of a type. */
     public Worker startWorker(String id, String zone, MachineType type) throws IOException {
-        Worker worker = new Worker(this, id, zone, type);
+        return startWorker(id, zone, type, false);
+    }
+
+    /** Starts an ordinary or a spot machine of a type. */
+    public Worker startWorker(String id, String zone, MachineType type, boolean spot) throws IOException {
+        Worker worker = new Worker(this, id, zone, type, spot);
         workers.add(worker);
         return worker;
     }
