--- a/review/4/Case4.java
+++ b/review/4/Case4.java
@@ -56,7 +56,7 @@
         }
         double acceptedS = world.seconds();
         boolean hadRoom = true;
-        while (world.seconds() < acceptedS + 90 && world.seconds() < 116) {
+        while (world.seconds() < acceptedS + 90 && world.seconds() < 117.5) {
             List<Worker> fitting = world.workers.stream()
                     .filter(worker -> worker.zone.equals(crashed.zone) && worker.isUp() && worker.freeCpus() >= 2)
                     .toList();
