--- a/src/main/java/garnetscale/emulator/WorkerModel.java
+++ b/src/main/java/garnetscale/emulator/WorkerModel.java
@@ -130,6 +130,34 @@
         return id;
     }
 
+    /** Returns the machine's type. */
+    public MachineType type() {
+        return type;
+    }
+
+    /** Returns whether the machine has an eviction notice. */
+    public boolean hasEvictionNotice() {
+        return evictionNoticeS != null;
+    }
+
+    /** Returns whether a task of the job is on the machine and hasn't ended. */
+    public boolean holdsTaskOf(String job) {
+        return tasks.values().stream()
+                .anyMatch(
+                        task -> task.state != TaskState.EXITED && task.id.job().equals(job));
+    }
+
+    /** Returns the capacity that the tasks which haven't ended leave free. */
+    public FreeCapacity freeCapacity() {
+        FreeCapacity free = new FreeCapacity(type);
+        for (TaskAttempt task : tasks.values()) {
+            if (task.state != TaskState.EXITED) {
+                free.take(jobs.apply(task.id.job()));
+            }
+        }
+        return free;
+    }
+
     /** Starts a new agent epoch without tasks if the lease has expired. The lease of a paused machine also expires. */
     public void expireLease(long now) {
         if (now - leaseStartedAt > leaseMs) {
@@ -240,6 +268,7 @@
 
     private void start(long now, WorkerCommand command) {
         JobSpec job = jobs.apply(command.task().job());
+        boolean hasRoom = job != null && freeCapacity().fits(job);
         TaskAttempt task = new TaskAttempt(command.task(), command.attempt(), TaskState.FETCHING, now);
         tasks.put(command.attempt(), task);
         boolean busy = tasks.values().stream()
@@ -248,21 +277,11 @@
             exit(task, ExitCause.UNKNOWN_TASK);
         } else if (busy) {
             exit(task, ExitCause.BUSY);
-        } else if (!fits(task, job)) {
+        } else if (!hasRoom) {
             exit(task, ExitCause.NO_ROOM);
         } else if (!cachedImages.contains(job.image())) {
             task.endsAt = now + Math.round(job.imageGb() / type.fetchGbPerS() * 1000);
         }
         advance(now);
     }
-
-    private boolean fits(TaskAttempt candidate, JobSpec job) {
-        FreeCapacity free = new FreeCapacity(type);
-        for (TaskAttempt task : tasks.values()) {
-            if (task != candidate && task.state != TaskState.EXITED) {
-                free.take(jobs.apply(task.id.job()));
-            }
-        }
-        return free.fits(job);
-    }
 }
--- a/src/test/java/garnetscale/core/sim/ProtocolRules.java
+++ b/src/test/java/garnetscale/core/sim/ProtocolRules.java
@@ -27,6 +27,7 @@
     private final Map<String, String> reportedStates = new HashMap<>();
 
     private final Set<TaskId> completed = new HashSet<>();
+    private final LeftWaitingRule leftWaiting = new LeftWaitingRule();
     private final Map<String, Double> limits;
     private final long cancelMs;
     private final LongSupplier clock;
@@ -157,6 +158,37 @@
         }
     }
 
+    /**
+     * Checks that no job is left waiting beside a machine with room; see {@link LeftWaitingRule}. Call this regularly.
+     *
+     * @param areTroublesOver whether all failures that were injected so far are over
+     * @param workers the workers of all machines
+     * @param failingJobs jobs that were submitted with a mistake; their tasks fail on every machine
+     */
+    void checkWaitingJobs(boolean areTroublesOver, List<WorkerModel> workers, Set<String> failingJobs) {
+        if (!areTroublesOver) {
+            leftWaiting.onTrouble();
+            return;
+        }
+        List<WorkerModel> machines =
+                workers.stream().filter(worker -> !worker.hasEvictionNotice()).toList();
+        for (JobSpec job : jobs.values()) {
+            boolean waits = !failingJobs.contains(job.id())
+                    && !isCancelled(job.id())
+                    && machines.stream().noneMatch(machine -> machine.holdsTaskOf(job.id()))
+                    && !isComplete(job.id())
+                    && used(job.team()) + job.cpus() <= limits.get(job.team());
+            if (!waits) {
+                leftWaiting.onNotWaiting(job.id());
+                continue;
+            }
+            String machine = leftWaiting.onWaiting(clock.getAsLong(), job, machines, model -> zones.get(model.id()));
+            if (machine != null) {
+                violated("left_waiting", job.id() + " beside " + machine);
+            }
+        }
+    }
+
     /** Checks that no task of a cancelled job still runs after the cancellation deadline. */
     void checkCancellations() {
         for (TaskId task : running.keySet()) {
--- a/src/test/java/garnetscale/core/sim/SimulatedCluster.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedCluster.java
@@ -96,6 +96,8 @@
 
     long heldHeartbeatsDelayMs;
     private long lastLeaderTerm;
+    /** Time at which the last failure is over of those that {@link #onTrouble} has recorded. */
+    private long troublesOverAt;
 
     SimulatedCluster(long seed, Fault fault, ClusterShape shape) {
         super(seed);
@@ -117,6 +119,22 @@
             startWorker(i);
         }
         every(250, this::update);
+        every(1000, this::checkWaitingJobs);
+    }
+
+    /** Records a failure that lasts for {@code ms} from now on. */
+    void onTrouble(long ms) {
+        troublesOverAt = Math.max(troublesOverAt, now + ms);
+    }
+
+    private void checkWaitingJobs() {
+        boolean areTroublesOver = now >= troublesOverAt
+                && now >= state.outageUntil
+                && now >= state.slowUntil
+                && now >= lateCopiesUntil
+                && now >= holdHeartbeatsUntil;
+        rules.checkWaitingJobs(
+                areTroublesOver, workers.stream().map(worker -> worker.model).toList(), failingJobs);
     }
 
     /** Installs a program that supports these layout versions; it runs from the controller's next start on. */
--- a/src/test/java/garnetscale/core/sim/SimulatedNetwork.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedNetwork.java
@@ -26,6 +26,7 @@
     /** Cuts all links of a controller or worker, or one direction of a link ({@code from>to}). */
     void cut(String processOrLink, long ms) {
         cutUntil.put(processOrLink, cluster.now + ms);
+        cluster.onTrouble(ms);
     }
 
     /** Isolates a controller from the state service and its peers, in both directions, but not from workers. */
@@ -76,6 +77,7 @@
     /** Freezes a controller or worker while time advances: messages to it wait, and its timers fire afterwards. */
     void freeze(String process, long ms) {
         frozenUntil.put(process, cluster.now + ms);
+        cluster.onTrouble(ms);
     }
 
     /** Returns whether a controller or worker is frozen. */
@@ -127,5 +129,6 @@
     /** Stops a machine's heartbeats from reaching any controller, while direct requests reach the machine. */
     void blockHeartbeats(String worker, long ms) {
         heartbeatsBlockedUntil.put(worker, cluster.now + ms);
+        cluster.onTrouble(ms);
     }
 }
--- a/src/test/java/garnetscale/core/sim/SimulatedNode.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedNode.java
@@ -4,6 +4,7 @@
 import garnetscale.core.balance.BalanceSettings;
 import garnetscale.core.bidding.Estimator;
 import garnetscale.core.cluster.LeaderInfo;
+import garnetscale.core.cluster.PartitionLease;
 import garnetscale.core.cluster.PartitionMap;
 import garnetscale.core.leader.Leader;
 import garnetscale.core.leader.TransactionPipeline;
@@ -108,6 +109,7 @@
         cluster.network.frozenUntil.remove(name);
         up = false;
         processNumber++;
+        cluster.onTrouble(downMs);
         cluster.at(downMs, this::start);
     }
 
@@ -215,7 +217,7 @@
             SimulatedNode target =
                     cluster.nodes.get(Integer.parseInt(storedLeader.node().substring(1)));
             Consumer<SimulatedNode> message = effect instanceof OwnerEffect.PublishStatus publish
-                    ? node -> node.leader.onMachineStatus(cluster.now, publish.machineStatus())
+                    ? node -> node.onMachineStatus(publish.machineStatus())
                     : node -> node.leader.onBids(cluster.now, ((OwnerEffect.SubmitBids) effect).batch());
             if (target == this) {
                 message.accept(this);
@@ -229,6 +231,14 @@
         }
     }
 
+    private void onMachineStatus(MachineStatus status) {
+        PartitionLease lease = replica.partition(status.partition());
+        if (leader.leadingTerm() >= 0 && (lease == null || lease.term() < status.term())) {
+            cluster.countOccurrence("status before its lease");
+        }
+        leader.onMachineStatus(cluster.now, status);
+    }
+
     private void probe(String machine) {
         WorkerModel worker = cluster.worker(machine).model;
         int process = processNumber;
--- a/src/test/java/garnetscale/core/sim/SimulatedStateLink.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedStateLink.java
@@ -50,8 +50,9 @@
                     receiver.accept(result);
                 }
             });
-            if (cluster.now < cluster.state.slowUntil) {
-                cluster.at(cluster.random.nextInt(cluster.state.maxSlowdownMs), answer);
+            long delayMs = cluster.state.answerDelayMs(node.name);
+            if (delayMs > 0) {
+                cluster.at(delayMs, answer);
             } else {
                 answer.run();
             }
@@ -96,6 +97,8 @@
                 cluster.countOccurrence("watch stayed open while requests were refused");
             }
             cluster.at(40, () -> awaitChanges(since, deadline, receiver));
+        } else if (cluster.state.lateAnswerMs(node.name) > 0) {
+            cluster.at(cluster.state.lateAnswerMs(node.name), () -> awaitChanges(since, deadline, receiver));
         } else {
             receiver.accept(new ChangesAnswer(changes, cluster.state.model.revision()));
         }
--- a/src/test/java/garnetscale/core/sim/SimulatedStateService.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedStateService.java
@@ -1,6 +1,7 @@
 package garnetscale.core.sim;
 
 import garnetscale.core.SchedulerConfig;
+import garnetscale.core.state.Keys;
 import garnetscale.core.state.Transaction;
 import garnetscale.emulator.StateLimits;
 import garnetscale.emulator.StateModel;
@@ -22,6 +23,9 @@
     /** Maximum time after which an applied transaction arrives again. */
     private static final int MAX_REPEAT_DELAY_MS = 60_000;
 
+    /** Maximum time after which an unanswered transaction is applied. */
+    private static final long MAX_LATE_MS = 12_000;
+
     private final SimulatedCluster cluster;
     final StateModel model;
     private final Map<String, Long> refusedUntil = new HashMap<>();
@@ -44,6 +48,13 @@
     private long repeatedUntil;
 
     private double repeatedShare;
+    /**
+     * After a controller has stored partition leases, the answers to it are late for up to this long: other controllers then know
+     * the leases sooner than the leader that assigned them. PROTOCOL allows a few hundred milliseconds, so it is no failure.
+     */
+    int maxLateAfterLeasesMs;
+
+    private final Map<String, Long> answersLateUntil = new HashMap<>();
     /** Time until which each answer takes up to {@link #maxSlowdownMs} longer. */
     long slowUntil;
 
@@ -84,6 +95,7 @@
         }
         if (status == 200 && !transaction.ops().isEmpty()) {
             repeatLater(transaction);
+            delayAnswersAfterLeases(by.name, transaction);
         }
         if (status == 200 && !transaction.ops().isEmpty() && !by.layouts.contains(active)) {
             cluster.rules.violations.add(cluster.now + " wrote with an unsupported layout active: " + by.name
@@ -111,9 +123,30 @@
         return status;
     }
 
+    private void delayAnswersAfterLeases(String node, Transaction transaction) {
+        if (maxLateAfterLeasesMs > 0
+                && transaction.ops().stream().anyMatch(op -> op.key().startsWith(Keys.partition("")))) {
+            answersLateUntil.put(node, cluster.now + cluster.random.nextInt(maxLateAfterLeasesMs));
+        }
+    }
+
+    /** Returns the milliseconds by which an answer to this controller is late now. */
+    long answerDelayMs(String node) {
+        if (cluster.now < slowUntil) {
+            return cluster.random.nextInt(maxSlowdownMs);
+        }
+        return lateAnswerMs(node);
+    }
+
+    /** Returns the milliseconds by which an answer to this controller is late because of {@link #maxLateAfterLeasesMs}. */
+    long lateAnswerMs(String node) {
+        return Math.max(0, answersLateUntil.getOrDefault(node, 0L) - cluster.now);
+    }
+
     /** Refuses the requests of this controller alone. */
     void refuse(String node, long ms) {
         refusedUntil.put(node, cluster.now + ms);
+        cluster.onTrouble(ms);
     }
 
     /** Returns whether requests of this controller are refused now. */
@@ -130,6 +163,7 @@
     /** Leaves a share of the transactions without an answer for {@code ms}; they are applied at once, or 2 to 12 s late. */
     void loseAnswers(long ms, double share, boolean atOnce) {
         unansweredUntil = cluster.now + ms;
+        cluster.onTrouble(ms + MAX_LATE_MS);
         unansweredShare = share;
         unansweredAppliedAtOnce = atOnce;
     }
@@ -140,6 +174,7 @@
      */
     void repeatApplied(long ms, double share) {
         repeatedUntil = cluster.now + ms;
+        cluster.onTrouble(ms + MAX_REPEAT_DELAY_MS);
         repeatedShare = share;
     }
 
