Accept a machine's status before the replica shows its owner's lease

Cause: the new owner published the status of its idle machines before the leader's replica showed the owner's lease, the leader dropped it, and an unchanged status was never published again. Evidence: a trial that logs each dropped status; "status_term=2097153 lease=PartitionLease[..., term=1048579] leading=true" for each machine of the zone.

The leader accepts a status of a newer term than its replica's; what rests on the term is checked again when it is used. Owners publish unchanged status again after four heartbeat intervals, and unchanged bids while jobs wait; the leader publishes an unchanged directory again after 15 s. So whatever a receiver has dropped, or an older message has replaced, is there again within less than a worker lease.

--- a/src/main/java/garnetscale/controller/LeadershipLoop.java
+++ b/src/main/java/garnetscale/controller/LeadershipLoop.java
@@ -33,6 +33,11 @@
     private static final long AUTOSCALER_PAUSE_FACTOR = 200;
     /** The autoscaler runs only while the replica is younger than this. */
     private static final long AUTOSCALER_MAX_STATE_AGE_MS = 3000;
+    /**
+     * Interval at which an unchanged machine directory is published again: a late message of a deposed leader may have replaced it
+     * at a receiver.
+     */
+    private static final long DIRECTORY_REFRESH_MS = 15_000;
     /** Candidates wait for a random time below this, so that usually one is elected before the others send their transaction. */
     private static final long MAX_ELECTION_DELAY_MS = 150;
 
@@ -61,6 +66,7 @@
     private List<MachineType> cloudTypes = List.of();
 
     private PeerMessage.MachineDirectory publishedDirectory;
+    private long publishedDirectoryAt = Times.NEVER;
 
     LeadershipLoop(
             ControllerContext context,
@@ -196,8 +202,10 @@
     /** Publishes the addresses of all machines, so that partition owners can take over from a dead controller at once. */
     private void publishMachineDirectory() {
         PeerMessage.MachineDirectory directory = peers.machineDirectory();
-        if (!directory.equals(publishedDirectory)) {
+        long now = EventLoopPacer.now();
+        if (!directory.equals(publishedDirectory) || now - publishedDirectoryAt >= DIRECTORY_REFRESH_MS) {
             publishedDirectory = directory;
+            publishedDirectoryAt = now;
             context.owner()
                     .onMachineDirectory(directory.machines(), directory.lateBidJobs(), directory.quarantinedJobs());
             peers.sendAll(directory);
--- a/src/main/java/garnetscale/controller/PeerMessageHandler.java
+++ b/src/main/java/garnetscale/controller/PeerMessageHandler.java
@@ -2,6 +2,7 @@
 
 import garnetscale.core.SchedulerConfig;
 import garnetscale.core.cluster.LeaderInfo;
+import garnetscale.core.partition.MachineStatus;
 import garnetscale.net.PeerLinks;
 import garnetscale.peer.PeerMessage;
 import io.netty.channel.ChannelFuture;
@@ -159,7 +160,7 @@
                     .onMachineDirectory(directory.machines(), directory.lateBidJobs(), directory.quarantinedJobs());
             context.pacer().requestCycle();
         } else if (message instanceof PeerMessage.MachineStatusUpdate update) {
-            context.leader().onMachineStatus(EventLoopPacer.now(), update.machineStatus());
+            onMachineStatus(update.machineStatus());
             context.pacer().requestCycle();
         } else if (message instanceof PeerMessage.Bids bids) {
             context.leader().onBids(EventLoopPacer.now(), bids.batch());
@@ -167,6 +168,18 @@
         }
     }
 
+    private void onMachineStatus(MachineStatus status) {
+        if (!context.leader().onMachineStatus(EventLoopPacer.now(), status)) {
+            LOG.debug(
+                    "machine status ignored, machine={} partition={} owner={} term={} leader_term={}",
+                    status.machine(),
+                    status.partition(),
+                    status.node(),
+                    status.term(),
+                    context.leader().leadingTerm());
+        }
+    }
+
     private void onHeartbeat(PeerMessage.ControllerHeartbeat heartbeat) {
         String peer = heartbeat.node();
         PeerHeartbeats.Received before = heartbeats.put(heartbeat, EventLoopPacer.now());
--- a/src/main/java/garnetscale/core/leader/Leader.java
+++ b/src/main/java/garnetscale/core/leader/Leader.java
@@ -151,24 +151,32 @@
 
     /**
      * Handles a machine status published by a partition's owner. The status is ignored if this controller doesn't lead, or if
-     * the sender no longer holds the partition's lease.
+     * the sender no longer holds the partition's lease. It is accepted if the replica doesn't show the sender's lease yet: the
+     * owner may learn of its lease, and publish, before the replica of the leader that assigned it shows the same lease.
+     *
+     * @return whether the status was accepted
      */
-    public void onMachineStatus(long now, MachineStatus status) {
-        PartitionLease lease = replica.partition(status.partition());
-        if (!election.isLeading()
-                || lease == null
-                || lease.term() != status.term()
-                || lease.incarnation() != status.incarnation()) {
-            return;
+    public boolean onMachineStatus(long now, MachineStatus status) {
+        if (!election.isLeading() || isOfFormerOwner(status)) {
+            return false;
         }
         balancer.onControllerMessage(now, status.node());
         exitRecorder.onTerminated(status);
         if (status.type().isEmpty() || exitRecorder.isTerminated(status.machine())) {
-            return;
+            return true;
         }
         machines.computeIfAbsent(status.machine(), MachineState::new)
                 .onStatus(now, status, replica, context.estimator());
         exitRecorder.onExits(status);
+        return true;
+    }
+
+    /** Returns whether the replica shows that the sender of the status no longer holds the partition's lease. */
+    private boolean isOfFormerOwner(MachineStatus status) {
+        PartitionLease lease = replica.partition(status.partition());
+        return lease != null
+                && (lease.term() > status.term()
+                        || lease.term() == status.term() && lease.incarnation() != status.incarnation());
     }
 
     /** Handles the bids that a controller submitted for its machines; ignored while this controller doesn't lead. */
--- a/src/main/java/garnetscale/core/leader/MachineEvaluator.java
+++ b/src/main/java/garnetscale/core/leader/MachineEvaluator.java
@@ -78,7 +78,7 @@
         machines.values()
                 .removeIf(machine -> machine.status.silent()
                         && replica.placements(machine.id).isEmpty()
-                        && now - machine.statusAt > LEASES_TO_FORGET * config.workerLeaseMs());
+                        && now - machine.silentSince > LEASES_TO_FORGET * config.workerLeaseMs());
     }
 
     private void evaluateSpeed(long now) {
--- a/src/main/java/garnetscale/core/leader/MachineState.java
+++ b/src/main/java/garnetscale/core/leader/MachineState.java
@@ -22,6 +22,8 @@
     MachineStatus status;
     /** When {@link #status} was received. */
     long statusAt;
+    /** Since when every status has shown the machine as silent; {@link Times#NEVER} if the newest one doesn't. */
+    long silentSince = Times.NEVER;
     /** When the leader first learned that an attempt runs, by attempt. */
     final Map<Long, Long> runningSince = new HashMap<>();
     /** No task is placed here before this time, because the machine has rejected or failed tasks. */
@@ -42,6 +44,11 @@
     void onStatus(long now, MachineStatus published, StateReplica replica, Estimator estimator) {
         status = published;
         statusAt = now;
+        if (!published.silent()) {
+            silentSince = Times.NEVER;
+        } else if (silentSince == Times.NEVER) {
+            silentSince = now;
+        }
         Set<Long> present = new HashSet<>();
         for (TaskStatus task : published.tasks()) {
             present.add(task.attempt());
--- a/src/main/java/garnetscale/core/partition/BidSubmitter.java
+++ b/src/main/java/garnetscale/core/partition/BidSubmitter.java
@@ -54,6 +54,9 @@
     private final Set<String> lateBidJobs = new HashSet<>();
 
     private BidBatch lastBatch;
+    /** When {@link #lastBatch} was submitted. */
+    private long lastBatchAt = Times.NEVER;
+
     private boolean isStale = true;
     private long submittedAt = Times.NEVER;
     private long submittedRevision = -1;
@@ -147,8 +150,9 @@
             bids = bidsFor(now, waiting);
         }
         BidBatch batch = new BidBatch(config.self(), leases.incarnation(), replica.revision(), terms, bids);
-        if (shouldSubmit(batch, waiting)) {
+        if (shouldSubmit(now, batch, waiting)) {
             lastBatch = batch;
+            lastBatchAt = now;
             effects.add(new OwnerEffect.SubmitBids(batch));
         }
     }
@@ -177,13 +181,17 @@
 
     /**
      * Returns whether the batch has something that the leader doesn't know yet. While jobs are waiting, a new revision alone
-     * is enough: it shows the leader up to which revision this owner has seen the jobs.
+     * is enough: it shows the leader up to which revision this owner has seen the jobs. An unchanged batch is submitted again
+     * from time to time, like an unchanged status, because the leader may have dropped it.
      */
-    private boolean shouldSubmit(BidBatch batch, List<JobView> waiting) {
+    private boolean shouldSubmit(long now, BidBatch batch, List<JobView> waiting) {
         return lastBatch == null
                 || !lastBatch.bids().equals(batch.bids())
                 || !lastBatch.terms().equals(batch.terms())
-                || !waiting.isEmpty() && lastBatch.revision() != batch.revision();
+                || !waiting.isEmpty()
+                        && (lastBatch.revision() != batch.revision()
+                                || now - lastBatchAt
+                                        >= StatusPublisher.REFRESH_HEARTBEATS * config.heartbeatIntervalMs());
     }
 
     /** Returns the machines that may bid and have the CPUs for the smallest waiting job, with the free capacity of each. */
--- a/src/main/java/garnetscale/core/partition/StatusPublisher.java
+++ b/src/main/java/garnetscale/core/partition/StatusPublisher.java
@@ -9,12 +9,18 @@
 
 /**
  * Publishes the status of machines to the leader when it changes. Publishes it again while the leader hasn't acted on exits
- * or termination proofs in it, since the first message may have been lost with its connection.
+ * or termination proofs in it, since the first message may have been lost with its connection, and at a longer interval in any
+ * case, since the leader may have dropped the message: nothing shows an owner whether the leader has accepted a status.
  */
 final class StatusPublisher {
 
     /** How long the leader has to act on an exit or a termination proof before the status is published again. */
     private static final long REPUBLISH_MS = 2000;
+    /**
+     * Heartbeat intervals after which an unchanged status is published again. The time is shorter than a worker lease, so that a
+     * new leader learns of each machine before it may take the machine for dead and delete it.
+     */
+    static final int REFRESH_HEARTBEATS = 4;
 
     private final SchedulerConfig config;
     private final StateReplica replica;
@@ -39,7 +45,10 @@
         MachineStatus status = status(now, machine, owned);
         boolean awaitsLeader = !status.terminated().isEmpty() || hasExitedPlacement(machine);
         machine.hasPendingWork |= awaitsLeader;
-        if (!status.equals(machine.publishedStatus) || awaitsLeader && now - machine.publishedAt > REPUBLISH_MS) {
+        long publishedMsAgo = now - machine.publishedAt;
+        if (!status.equals(machine.publishedStatus)
+                || awaitsLeader && publishedMsAgo > REPUBLISH_MS
+                || publishedMsAgo >= REFRESH_HEARTBEATS * config.heartbeatIntervalMs()) {
             machine.publishedStatus = status;
             machine.publishedAt = now;
             effects.add(new OwnerEffect.PublishStatus(status));
