End what a partition's former owner has said with its term

Cause: the leader kept the last status of each machine without end; the new owner never hears of such machines and publishes none, so that they counted as free capacity as long as the leader led.

A machine that only a former owner has published counts as silent once the new lease is a worker lease old. A crashed owner's bids are dropped; they were ranked beside the new owner's. The silence of machines that the present owner hasn't published is no sign that it is isolated.

--- a/src/main/java/garnetscale/core/bidding/Auction.java
+++ b/src/main/java/garnetscale/core/bidding/Auction.java
@@ -60,6 +60,21 @@
         }
     }
 
+    /** Drops the batches of owners that no longer hold any of the partitions for which they were submitted. */
+    public void dropFormerOwners() {
+        isBidsByJobStale |= batchesByOwner.values().removeIf(this::isOfFormerOwner);
+    }
+
+    private boolean isOfFormerOwner(BidBatch batch) {
+        for (Map.Entry<String, Long> term : batch.terms().entrySet()) {
+            PartitionLease lease = replica.partition(term.getKey());
+            if (lease == null || lease.term() <= term.getValue()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private ListMultimap<String, Bid> bidsByJob() {
         if (isBidsByJobStale) {
             isBidsByJobStale = false;
--- a/src/main/java/garnetscale/core/leader/Leader.java
+++ b/src/main/java/garnetscale/core/leader/Leader.java
@@ -233,6 +233,7 @@
         if (!leads(now)) {
             return null;
         }
+        context.auction().dropFormerOwners();
         balancer.reconcile();
         Transaction versionChange = upgrades.plan(now);
         if (versionChange != null) {
--- a/src/main/java/garnetscale/core/leader/MachineEvaluator.java
+++ b/src/main/java/garnetscale/core/leader/MachineEvaluator.java
@@ -3,6 +3,7 @@
 import garnetscale.core.SchedulerConfig;
 import garnetscale.core.Times;
 import garnetscale.core.bidding.Estimator;
+import garnetscale.core.cluster.PartitionLease;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.Placement;
@@ -60,15 +61,37 @@
         this.log = context.log();
     }
 
-    /** Forgets silent machines and evaluates the speed of the others, at most twice per heartbeat interval. */
+    /**
+     * Ends the status of former owners, forgets silent machines and evaluates the speed of the others, at most twice per heartbeat
+     * interval.
+     */
     void evaluate(long now) {
         if (now - evaluatedAt >= config.heartbeatIntervalMs() / 2) {
             evaluatedAt = now;
+            expireOutdated(now);
             forgetSilent(now);
             evaluateSpeed(now);
         }
     }
 
+    /**
+     * Makes machines count as silent of which only a former owner of their partition has published a status. The present owner
+     * publishes each machine that it reaches, and within a worker lease each worker that is up has reached it. Without this, machines
+     * that were taken by the cloud shortly before their owner crashed counted as free capacity without end.
+     */
+    private void expireOutdated(long now) {
+        for (MachineState machine : machines.values()) {
+            PartitionLease lease = replica.partition(machine.status.partition());
+            if (lease == null || lease.term() <= machine.status.term()) {
+                continue;
+            }
+            machine.onOutdated(now);
+            if (now - machine.outdatedSince > config.workerLeaseMs()) {
+                machine.setSilent(now);
+            }
+        }
+    }
+
     /**
      * Forgets silent machines without placements. If the cloud removed a machine before this leader first received the cloud's
      * instance list, silence is the only sign of that. If such machines still counted as silent, there could be too many silent
--- a/src/main/java/garnetscale/core/leader/MachineState.java
+++ b/src/main/java/garnetscale/core/leader/MachineState.java
@@ -24,6 +24,8 @@
     long statusAt;
     /** Since when every status has shown the machine as silent; {@link Times#NEVER} if the newest one doesn't. */
     long silentSince = Times.NEVER;
+    /** Since when the partition's lease has had a newer term than {@link #status}; {@link Times#NEVER} if it hasn't. */
+    long outdatedSince = Times.NEVER;
     /** When the leader first learned that an attempt runs, by attempt. */
     final Map<Long, Long> runningSince = new HashMap<>();
     /** No task is placed here before this time, because the machine has rejected or failed tasks. */
@@ -44,11 +46,8 @@
     void onStatus(long now, MachineStatus published, StateReplica replica, Estimator estimator) {
         status = published;
         statusAt = now;
-        if (!published.silent()) {
-            silentSince = Times.NEVER;
-        } else if (silentSince == Times.NEVER) {
-            silentSince = now;
-        }
+        outdatedSince = Times.NEVER;
+        updateSilence(now);
         Set<Long> present = new HashSet<>();
         for (TaskStatus task : published.tasks()) {
             present.add(task.attempt());
@@ -65,6 +64,27 @@
         runningSince.keySet().retainAll(present);
     }
 
+    private void updateSilence(long now) {
+        if (!status.silent()) {
+            silentSince = Times.NEVER;
+        } else if (silentSince == Times.NEVER) {
+            silentSince = now;
+        }
+    }
+
+    /** Records that the status is of a former owner of the partition, and that the present one hasn't published any yet. */
+    void onOutdated(long now) {
+        if (outdatedSince == Times.NEVER) {
+            outdatedSince = now;
+        }
+    }
+
+    /** Makes the machine count as silent until its owner publishes a status. */
+    void setSilent(long now) {
+        status = status.asSilent();
+        updateSilence(now);
+    }
+
     /** Returns whether the machine's heartbeats arrive and the cloud hasn't announced its eviction. */
     boolean isAvailable() {
         return !status.silent() && status.evictionNoticeS() == null;
--- a/src/main/java/garnetscale/core/leader/PartitionAssigner.java
+++ b/src/main/java/garnetscale/core/leader/PartitionAssigner.java
@@ -193,13 +193,15 @@
      * The owner may be cut off from the workers while the state service and its peers still reach it.
      */
     private boolean hasOnlySilentMachines(long now, String partition) {
+        long term = replica.partition(partition).term();
         int silent = 0;
         for (MachineState machine : machines) {
             if (machine.status.partition().equals(partition)) {
                 if (!machine.status.silent()) {
                     return false;
                 }
-                silent++;
+                // The silence of a machine that only a former owner has published says nothing about the present one.
+                silent += machine.status.term() >= term ? 1 : 0;
             }
         }
         return silent > 1
--- a/src/main/java/garnetscale/core/partition/MachineStatus.java
+++ b/src/main/java/garnetscale/core/partition/MachineStatus.java
@@ -40,6 +40,25 @@
         List<TaskStatus> tasks,
         List<Long> terminated) {
 
+    /** Returns this status with the machine as silent. */
+    public MachineStatus asSilent() {
+        return new MachineStatus(
+                node,
+                incarnation,
+                partition,
+                term,
+                machine,
+                address,
+                type,
+                zone,
+                spot,
+                agentEpoch,
+                evictionNoticeS,
+                true,
+                tasks,
+                terminated);
+    }
+
     /** Explicit because it is on the hot path; see {@link garnetscale.core}. */
     @Override
     public boolean equals(Object object) {
--- a/src/test/java/garnetscale/core/leader/LeaderMachineStatusTest.java
+++ b/src/test/java/garnetscale/core/leader/LeaderMachineStatusTest.java
@@ -46,6 +46,42 @@
         assertEquals(List.of(early), List.copyOf(leader.machines()));
     }
 
+    /**
+     * The machine is taken, its owner crashes before it notices, and the next owner never hears of the machine. The leader went on
+     * counting it as free capacity, so that no machine was rented for a waiting job.
+     */
+    @Test
+    void aMachineThatOnlyAFormerOwnerHasPublishedIsSilentAfterAWorkerLease() {
+        leader.onMachineStatus(now, status(INCARNATION, TERM));
+        state.lease("a/0", "n1", INCARNATION + 1, TERM + 1);
+        planFor(config.workerLeaseMs());
+        assertEquals(List.of(status(INCARNATION, TERM)), List.copyOf(leader.machines()));
+        planFor(config.heartbeatIntervalMs());
+        assertEquals(List.of(status(INCARNATION, TERM).asSilent()), List.copyOf(leader.machines()));
+        planFor(3 * config.workerLeaseMs());
+        assertEquals(
+                List.of(),
+                List.copyOf(leader.machines()),
+                "without placements it is forgotten like any silent machine");
+    }
+
+    @Test
+    void aMachineThatTheNewOwnerPublishesIsNotSilent() {
+        leader.onMachineStatus(now, status(INCARNATION, TERM));
+        state.lease("a/0", "n1", INCARNATION + 1, TERM + 1);
+        planFor(config.workerLeaseMs());
+        leader.onMachineStatus(now, status(INCARNATION + 1, TERM + 1));
+        planFor(2 * config.workerLeaseMs());
+        assertEquals(List.of(status(INCARNATION + 1, TERM + 1)), List.copyOf(leader.machines()));
+    }
+
+    /** Lets the leader plan twice per heartbeat interval for this time. */
+    private void planFor(long ms) {
+        for (long end = now + ms; now < end; now += config.heartbeatIntervalMs() / 2) {
+            leader.plan(now);
+        }
+    }
+
     @Test
     void aStatusOfAFormerOwnerIsIgnored() {
         state.lease("a/0", "n1", INCARNATION + 1, TERM + 1);
