--- a/src/main/java/garnetscale/core/leader/TaskPlacer.java
+++ b/src/main/java/garnetscale/core/leader/TaskPlacer.java
@@ -33,6 +33,9 @@
     /** Bytes that a stored placement may take on average. */
     private static final int BYTES_PER_PLACEMENT = 64;
 
+    /** Number of tasks that a job may place at a time in the headroom reserve once it is overdue. */
+    private static final int MAX_OVERDUE_TASKS = 1;
+
     private static final int NO_TASK = -1;
 
     private final SchedulingCycle cycle;
@@ -125,6 +128,10 @@
         boolean borrows = borrows(job);
         double reservedCpus = reserve.cpus(fleetCpus, borrows);
         int allowed = failures.allowedPlacements(cycle.now(), spec.id(), job.placedCount());
+        if (reserve.isOverdue(cycle.now(), job) && isHeldBack(job, borrows, reservedCpus)) {
+            reservedCpus = 0;
+            allowed = Math.min(allowed, MAX_OVERDUE_TASKS);
+        }
         if (allowed == 0
                 || !auction.isWindowClosed(cycle.now(), job)
                 || isHeldBack(job, borrows, reservedCpus)
@@ -176,8 +183,8 @@
     }
 
     /**
-     * Returns whether the job is of low priority and not within a guarantee of its team. Such a job may be kept waiting without
-     * limit.
+     * Returns whether the job is of low priority and not within a guarantee of its team. Such a job leaves the headroom reserve free
+     * until it is overdue.
      */
     private boolean borrows(JobView job) {
         return job.spec().priority() == Priority.LOW && !draft.quota().isWithinGuarantee(job.spec());
--- a/src/test/java/garnetscale/core/job/TestJob.java
+++ b/src/test/java/garnetscale/core/job/TestJob.java
@@ -6,6 +6,7 @@
 public final class TestJob {
 
     private final String id;
+    private String jobClass = "c";
     private String team = "red";
     private Priority priority = Priority.NORMAL;
     private int tasks = 1;
@@ -27,6 +28,11 @@
         return new TestJob(id);
     }
 
+    public TestJob jobClass(String name) {
+        jobClass = name;
+        return this;
+    }
+
     public TestJob team(String name) {
         team = name;
         return this;
@@ -90,7 +96,7 @@
     public JobSpec build() {
         return new JobSpec(
                 id,
-                "c",
+                jobClass,
                 team,
                 priority,
                 tasks,
