Keep no scarce machine for a quarantined job, nor for long from an idle one

Cause: a machine of a scarce type yields to a more urgent waiting job without end, and a quarantined job always waits, though Leader.quarantinedJobs promises that no machine is kept from bidding because of it.

No job yields to a quarantined job.

--- a/src/main/java/garnetscale/core/bidding/Bidding.java
+++ b/src/main/java/garnetscale/core/bidding/Bidding.java
@@ -61,6 +61,8 @@
     private int openBidderCount;
     /** Scratch space for {@link #collectCandidates}. */
     private long[] candidates;
+    /** Whether scarce machines bid for one task of the current job although it should yield them; see {@link ScarceTypeFilter}. */
+    private boolean isYieldSuspended;
     /** Sum of the CPUs that are free on the bidders. */
     private double freeCpus;
     /** Sum of the CPUs that were offered although jobs ahead would take them. */
@@ -125,10 +127,14 @@
     }
 
     private void updateGroups(JobView job) {
+        boolean isOverdue = scarceTypes.isOverdue(job, wallClockMs);
+        isYieldSuspended = false;
         for (Bidder bidder : representatives) {
-            bidder.group.mayBid = JobQueue.allows(bidder.type, bidder.zone, bidder.spot, job.spec())
-                    && placedZones.allowAnother(job.spec(), bidder.zone)
-                    && scarceTypes.mayBid(job, bidder.type, bidder.zone, bidder.spot, wallClockMs);
+            boolean mayRun = JobQueue.allows(bidder.type, bidder.zone, bidder.spot, job.spec())
+                    && placedZones.allowAnother(job.spec(), bidder.zone);
+            boolean yields = mayRun && !scarceTypes.mayBid(job, bidder.type, bidder.zone, bidder.spot, wallClockMs);
+            isYieldSuspended |= yields && isOverdue;
+            bidder.group.mayBid = mayRun && (!yields || isOverdue);
             bidder.group.fetchS = Estimator.fetchS(job.spec(), bidder.type);
         }
     }
@@ -145,7 +151,7 @@
     }
 
     private int tasksToBidFor(JobView job) {
-        if (quarantinedJobs.contains(job.spec().id())) {
+        if (isYieldSuspended || quarantinedJobs.contains(job.spec().id())) {
             return 1;
         }
         return job.unstartedCount() == 0 ? job.placedCount() : job.unstartedCount();
--- a/src/main/java/garnetscale/core/partition/BidSubmitter.java
+++ b/src/main/java/garnetscale/core/partition/BidSubmitter.java
@@ -174,7 +174,7 @@
         QuotaUsage quota = QuotaUsage.of(config, replica);
         waiting.removeIf(job -> !quota.allows(job.spec()));
         PlacedZones placedZones = new PlacedZones(replica, waiting);
-        scarceTypes.refresh(replica.types(), waiting, placedZones);
+        scarceTypes.refresh(replica.types(), waiting, placedZones, quarantinedJobs, wallClockMs(now));
         return new Bidding(replica, estimator, scarceTypes, placedZones, wallClockMs(now), quarantinedJobs)
                 .bids(waiting, bidders(now, waiting));
     }
--- a/src/main/java/garnetscale/core/queue/ScarceTypeFilter.java
+++ b/src/main/java/garnetscale/core/queue/ScarceTypeFilter.java
@@ -1,6 +1,7 @@
 package garnetscale.core.queue;
 
 import garnetscale.core.SchedulerConfig;
+import garnetscale.core.Times;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.job.Priority;
 import garnetscale.core.machine.MachineType;
@@ -21,7 +22,10 @@
  *
  * <p>A job yields in this way only until its start objective is in danger; then every machine may bid for it again. The exception
  * is a job that has started and is less urgent than the waiting one: it yields as long as the other waits. Otherwise a job of the
- * lowest priority with hundreds of long tasks would fill all machines of the type.
+ * lowest priority with hundreds of long tasks would fill all machines of the type. But once it has had no placed task for {@link
+ * Times#MAX_HOLD_BACK_MS}, machines may bid for one of its tasks in spite of that; see {@link #isOverdue}.
+ *
+ * <p>No job yields to a quarantined job, which fails on every machine and waits until its user cancels it.
  */
 public final class ScarceTypeFilter {
 
@@ -29,6 +33,8 @@
     private static final double YIELD_SHARE = 0.5;
     /** Seconds for which a job without a start objective yields scarce types. */
     private static final double DEFAULT_YIELD_S = 10;
+    /** Upper bound of the seconds for which a job yields scarce types. */
+    private static final double MAX_YIELD_S = Times.MAX_HOLD_BACK_MS / 1000.0;
 
     /** The machines that some of the waiting jobs may run on. */
     private static final class Demand {
@@ -54,6 +60,7 @@
 
     private final Map<String, Double> yieldSByClass = new HashMap<>();
     private final Map<String, Set<String>> fittingTypesByJob = new HashMap<>();
+    private final IdleJobs idleJobs = new IdleJobs();
     /** The distinct demands of the waiting jobs. There are few, no matter how many jobs wait. */
     private final Map<List<Object>, Demand> demands = new HashMap<>();
 
@@ -61,7 +68,8 @@
     public ScarceTypeFilter(SchedulerConfig config) {
         for (SchedulerConfig.ServiceLevelObjective objective : config.objectives()) {
             if (objective.kind() == SchedulerConfig.ObjectiveKind.START) {
-                yieldSByClass.merge(objective.jobClass(), YIELD_SHARE * objective.withinS(), Math::min);
+                yieldSByClass.merge(
+                        objective.jobClass(), Math.min(MAX_YIELD_S, YIELD_SHARE * objective.withinS()), Math::min);
             }
         }
     }
@@ -70,8 +78,16 @@
      * Replaces the waiting jobs that {@link #mayBid} considers.
      *
      * @param placedZones the zones of these jobs' placed tasks
+     * @param quarantinedJobs ids of the quarantined jobs, to which no other job yields
+     * @param nowMs wall-clock time in milliseconds
      */
-    public void refresh(List<MachineType> types, List<JobView> waiting, PlacedZones placedZones) {
+    public void refresh(
+            List<MachineType> types,
+            List<JobView> waiting,
+            PlacedZones placedZones,
+            Set<String> quarantinedJobs,
+            long nowMs) {
+        idleJobs.observe(nowMs, waiting);
         fittingTypesByJob.clear();
         demands.clear();
         Set<String> zones = new TreeSet<>();
@@ -81,6 +97,9 @@
             Set<String> fitting = fittingTypes(types, spec);
             Set<String> allowed = allowedZones(spec, zones, placedZones);
             fittingTypesByJob.put(spec.id(), fitting);
+            if (quarantinedJobs.contains(spec.id())) {
+                continue;
+            }
             Demand demand = demands.computeIfAbsent(
                     List.of(fitting, allowed, spec.spot()), key -> new Demand(fitting, allowed, spec.spot()));
             if (spec.priority().compareTo(demand.mostUrgent) < 0) {
@@ -113,6 +132,16 @@
         return allowed;
     }
 
+    /**
+     * Returns whether the job has had no placed task for so long that machines may bid for one of its tasks although {@link #mayBid}
+     * doesn't allow it.
+     *
+     * @param nowMs wall-clock time in milliseconds
+     */
+    public boolean isOverdue(JobView job, long nowMs) {
+        return idleJobs.isOverdue(nowMs, job.spec().id());
+    }
+
     /**
      * Returns whether a machine may bid for the job, that is, whether the job needn't yield the machine to a waiting job that fits
      * only some of the job's types. Always true for a job that wasn't among the waiting jobs at the last {@link #refresh}.
--- a/src/test/java/garnetscale/core/bidding/BiddingZoneConstraintsTest.java
+++ b/src/test/java/garnetscale/core/bidding/BiddingZoneConstraintsTest.java
@@ -78,7 +78,7 @@
         List<JobView> waiting = JobQueue.sort(replica.jobs(), new JobOrder(config.build()), 0);
         PlacedZones placedZones = new PlacedZones(replica, waiting);
         ScarceTypeFilter scarceTypes = new ScarceTypeFilter(config.build());
-        scarceTypes.refresh(replica.types(), waiting, placedZones);
+        scarceTypes.refresh(replica.types(), waiting, placedZones, Set.of(), 0);
         List<Bidder> bidders = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
             bidders.add(new Bidder("m-" + zone + i, 1, TYPE, zone, false, new FreeCapacity(TYPE)));
--- a/src/test/java/garnetscale/core/queue/ScarceTypeFilterTest.java
+++ b/src/test/java/garnetscale/core/queue/ScarceTypeFilterTest.java
@@ -1,8 +1,11 @@
 package garnetscale.core.queue;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetscale.core.TestConfig;
+import garnetscale.core.Times;
 import garnetscale.core.job.JobRecord;
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.job.JobState;
@@ -19,8 +22,10 @@
 import garnetscale.core.state.StateReplica;
 import garnetscale.core.state.Transaction;
 import garnetscale.emulator.StateModel;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -40,6 +45,7 @@
 
     private final StateModel state = new StateModel();
     private final StateReplica replica = new StateReplica();
+    private final Set<String> quarantinedJobs = new HashSet<>();
 
     ScarceTypeFilterTest() {
         put(Keys.TYPES, Records.types(List.of(SMALL, LARGE)));
@@ -74,7 +80,7 @@
         ScarceTypeFilter filter =
                 new ScarceTypeFilter(TestConfig.small().controllers(List.of()).build());
         List<JobView> waiting = List.copyOf(replica.jobs());
-        filter.refresh(replica.types(), waiting, new PlacedZones(replica, waiting));
+        filter.refresh(replica.types(), waiting, new PlacedZones(replica, waiting), quarantinedJobs, LATER_MS);
         assertEquals(inZoneA, filter.mayBid(replica.job(SMALL_JOB), LARGE, "a", isSpot, LATER_MS), "zone a");
         assertEquals(inZoneB, filter.mayBid(replica.job(SMALL_JOB), LARGE, "b", isSpot, LATER_MS), "zone b");
     }
@@ -114,4 +120,30 @@
         place("m-large1", "a", LARGE_JOB, 1);
         assertMayBid(false, true, false);
     }
+
+    /**
+     * A job that was submitted with a mistake waits until its user cancels it. It kept machines from another team's started job
+     * for as long.
+     */
+    @Test
+    void noMachineIsKeptForAQuarantinedJob() {
+        submit(largeJob().build());
+        quarantinedJobs.add(LARGE_JOB);
+        assertMayBid(false, true, true);
+    }
+
+    @Test
+    void aStartedJobWithoutPlacedTasksIsOverdueAfterTheLongestTimeOfYielding() {
+        submit(TestJob.named("wk-3").cpus(4).build());
+        ScarceTypeFilter filter =
+                new ScarceTypeFilter(TestConfig.small().controllers(List.of()).build());
+        List<JobView> waiting = List.of(replica.job("wk-3"));
+        filter.refresh(replica.types(), waiting, new PlacedZones(replica, waiting), Set.of(), LATER_MS);
+        assertFalse(filter.isOverdue(replica.job("wk-3"), LATER_MS + Times.MAX_HOLD_BACK_MS - 1));
+        assertTrue(filter.isOverdue(replica.job("wk-3"), LATER_MS + Times.MAX_HOLD_BACK_MS));
+        filter.refresh(replica.types(), List.of(), new PlacedZones(replica, waiting), Set.of(), LATER_MS);
+        assertFalse(
+                filter.isOverdue(replica.job("wk-3"), LATER_MS + Times.MAX_HOLD_BACK_MS),
+                "a job whose team is at its limit isn't among the waiting jobs");
+    }
 }
--- a/src/test/java/garnetscale/core/sim/HeldBackJobTest.java
+++ b/src/test/java/garnetscale/core/sim/HeldBackJobTest.java
@@ -8,6 +8,7 @@
 import garnetscale.core.job.JobSpec;
 import garnetscale.core.job.Priority;
 import garnetscale.core.job.TestJob;
+import garnetscale.core.machine.MachineType;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -24,11 +25,16 @@
     private static final long END_MS = 220_000;
     private static final String GUEST_JOB = "wk-guest";
 
+    private static final int VALUE_BYTES = 16 * 1024;
+    private static final List<String> ZONES = List.of("a", "b");
+    private static final MachineType SMALL = new MachineType("small", 8, 0, 32, 20, 1, 1, 0.5, 20, ZONES);
+    private static final MachineType LARGE = new MachineType("large", 32, 0, 128, 20, 1, 1, 0.5, 20, ZONES);
+
     private static final ClusterShape SHAPE = new ClusterShape(
             3,
-            List.of("a", "b"),
+            ZONES,
             MACHINES,
-            16 * 1024,
+            VALUE_BYTES,
             List.of(SimulatedCluster.TYPE),
             List.of(new SchedulerConfig.ServiceLevelObjective(SchedulerConfig.ObjectiveKind.START, "c", 2, 0.9, 0)),
             MACHINES * MACHINE_CPUS,
@@ -114,4 +120,49 @@
             assertGuestJobCompletes(cluster, seed);
         }
     }
+
+    /**
+     * A more urgent job that only large machines fit was submitted with a mistake and waits until its user cancels it. The large
+     * machines were kept for it, and a job that had begun on them got none any more.
+     */
+    @Test
+    void aQuarantinedJobDoesNotKeepScarceMachinesFromAJobThatHasBegun() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedCluster cluster = clusterWithFaultyJob(seed, 2 * MACHINES);
+            assertEquals(List.of(), cluster.rules.violations, "seed " + seed);
+            assertTrue(cluster.rules.isComplete(GUEST_JOB), "seed " + seed);
+        }
+    }
+
+    /** Plays a cluster in which a third of the machines are large and empty, and all others have work for the whole time. */
+    private static SimulatedCluster clusterWithFaultyJob(long seed, int machines) {
+        ClusterShape shape = new ClusterShape(3, ZONES, machines, VALUE_BYTES).withTypes(List.of(SMALL, LARGE, SMALL));
+        SimulatedCluster cluster = new SimulatedCluster(seed, SimulatedCluster.Fault.NONE, shape);
+        cluster.at(
+                1000,
+                () -> cluster.users.submit(TestJob.named("wk-busy")
+                        .types(List.of("small"))
+                        .tasks(machines * 2 / 3)
+                        .cpus(MACHINE_CPUS)
+                        .estimateS(LONG_TASK_S)
+                        .build()));
+        cluster.at(
+                6000,
+                () -> cluster.users.submit(TestJob.named(GUEST_JOB)
+                        .team("blue")
+                        .tasks(40)
+                        .cpus(MACHINE_CPUS)
+                        .estimateS(6)
+                        .build()));
+        cluster.failingJobs.add("wk-faulty");
+        cluster.at(
+                10_000,
+                () -> cluster.users.submit(TestJob.named("wk-faulty")
+                        .priority(Priority.HIGH)
+                        .tasks(4)
+                        .cpus(2 * MACHINE_CPUS)
+                        .build()));
+        cluster.run(END_MS);
+        return cluster;
+    }
 }
