Revert "Offer what a quarantined job is offered to the jobs behind it as well"

SimulationTest.jobsThatFailEverywhereCostFewStarts failed with it: 600 starts of 139 tasks that always fail, where less than 556 are allowed (552 without it).

--- a/src/main/java/garnetscale/core/bidding/Bidding.java
+++ b/src/main/java/garnetscale/core/bidding/Bidding.java
@@ -74,8 +74,7 @@
      * @param placedZones the zones of the waiting jobs' placed tasks; a machine that they forbid doesn't bid, since its slots
      *     would be missing for jobs that could use them
      * @param wallClockMs wall-clock time in milliseconds
-     * @param quarantinedJobs ids of the quarantined jobs, which fail on every machine; one task of such a job is tried at a time, with
-     *     capacity that is offered to the jobs behind as well
+     * @param quarantinedJobs ids of the quarantined jobs, which fail on every machine; one task of such a job is tried at a time
      */
     public Bidding(
             StateReplica replica,
@@ -184,7 +183,6 @@
      */
     private int bid(JobView job, int tasks, int wantedSlots, boolean isOverbooking) {
         JobSpec spec = job.spec();
-        boolean isQuarantined = quarantinedJobs.contains(spec.id());
         int found = collectCandidates(job, isOverbooking);
         Arrays.sort(candidates, 0, found);
         int missing = wantedSlots;
@@ -193,28 +191,18 @@
             int slots = Math.min((isOverbooking ? bidder.free : bidder.remaining).slots(spec), tasks);
             double finishS = (candidates[i] >> INDEX_BITS) / 10.0;
             bids.add(new Bid(bidder.machine, bidder.agentEpoch, spec.id(), slots, finishS));
+            bidder.jobsBidFor++;
             bidder.lastJobBidFor = job;
-            // The leader tries a task of a quarantined job only now and then. If such jobs took what is offered to
-            // them, several
-            // of them would keep the machines from bidding for the jobs behind.
-            if (!isQuarantined) {
-                bidder.jobsBidFor++;
-                takeOffered(bidder, spec, slots, missing, isOverbooking);
+            if (isOverbooking) {
+                overbookedCpus += slots * spec.cpus();
+            } else {
+                bidder.remaining.take(spec, Math.min(slots, missing));
             }
             missing -= slots;
         }
         return missing;
     }
 
-    /** Counts the capacity that is offered to a job as taken for the jobs behind it. */
-    private void takeOffered(Bidder bidder, JobSpec spec, int slots, int missing, boolean isOverbooking) {
-        if (isOverbooking) {
-            overbookedCpus += slots * spec.cpus();
-        } else {
-            bidder.remaining.take(spec, Math.min(slots, missing));
-        }
-    }
-
     /**
      * Puts the bidders that could bid for the job into {@link #candidates} and returns their number. A candidate packs the
      * estimated finish and the index of the bidder into one number, so that sorting allocates no object for each candidate. The
