Quarantine a job that fails on all machines that fit it, and bound cordons

The longest cordon was 32 heartbeat intervals, 160 s where heartbeats are 5 s apart.

A job without completed tasks is quarantined once it has failed on three machines, or on all available machines that fit it where there are fewer.

--- a/src/main/java/garnetscale/core/leader/FailureTracker.java
+++ b/src/main/java/garnetscale/core/leader/FailureTracker.java
@@ -21,7 +21,10 @@
  */
 final class FailureTracker {
 
-    /** Machines that a job must fail on, without completing a task, before it is quarantined. */
+    /**
+     * Machines that a job must fail on, without completing a task, before it is quarantined. Where fewer machines fit the job, it
+     * must fail on all of them.
+     */
     private static final int MACHINES_TO_QUARANTINE = 3;
     /**
      * Tasks of a quarantined job that may be placed at a time: enough to find out whether it still fails, and few enough to
@@ -39,6 +42,8 @@
     private static final class FailureHistory {
         /** Machines on which the job or task has failed. */
         final Set<String> machines = new HashSet<>();
+        /** Number of machines at which the job or task is quarantined. */
+        int machinesToQuarantine = MACHINES_TO_QUARANTINE;
 
         int retries;
         boolean hasCompletedTasks;
@@ -46,7 +51,7 @@
         long retryAt = Times.NEVER;
 
         boolean isQuarantined() {
-            return !hasCompletedTasks && machines.size() >= MACHINES_TO_QUARANTINE;
+            return !hasCompletedTasks && machines.size() >= machinesToQuarantine;
         }
     }
 
@@ -89,9 +94,12 @@
     /**
      * Records a failure on a machine. Returns whether the job or the task, rather than the machine, is now considered to be at
      * fault.
+     *
+     * @param fittingMachines number of available machines that the job fits
      */
-    boolean recordFailure(long now, TaskId task, String machine) {
+    boolean recordFailure(long now, TaskId task, String machine, int fittingMachines) {
         FailureHistory ofJob = jobs.computeIfAbsent(task.job(), id -> new FailureHistory());
+        ofJob.machinesToQuarantine = Math.max(1, Math.min(MACHINES_TO_QUARANTINE, fittingMachines));
         FailureHistory history =
                 ofJob.hasCompletedTasks ? tasks.computeIfAbsent(task, id -> new FailureHistory()) : ofJob;
         if (!history.isQuarantined()) {
--- a/src/main/java/garnetscale/core/leader/MachineEvaluator.java
+++ b/src/main/java/garnetscale/core/leader/MachineEvaluator.java
@@ -6,8 +6,10 @@
 import garnetscale.core.cluster.PartitionLease;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.ExitCause;
+import garnetscale.core.machine.MachineType;
 import garnetscale.core.machine.Placement;
 import garnetscale.core.machine.TaskStatus;
+import garnetscale.core.queue.JobQueue;
 import garnetscale.core.state.JobView;
 import garnetscale.core.state.StateReplica;
 import java.util.ArrayList;
@@ -36,8 +38,8 @@
      * machines.
      */
     private static final int MACHINES_PER_DECOMMISSIONED = 8;
-    /** Longest time that a machine is cordoned, in heartbeat intervals. */
-    private static final long MAX_CORDON_INTERVALS = 32;
+    /** Maximum number of times that the cordon of a machine doubles. */
+    private static final int MAX_CORDON_DOUBLINGS = 5;
     /** Worker leases after which a silent machine without placements is forgotten. */
     private static final int LEASES_TO_FORGET = 2;
 
@@ -174,7 +176,7 @@
             failures.recordCompletion(task.job());
         }
         boolean wasQuarantined = failures.isQuarantined(task);
-        if (!failures.recordFailure(now, task, machine.id)) {
+        if (!failures.recordFailure(now, task, machine.id, fittingMachines(job))) {
             recordMachineFailure(now, machine, task);
         } else if (!wasQuarantined) {
             log.accept("quarantined job: it fails on every machine and is retried rarely, job=" + task.job() + " task="
@@ -184,6 +186,22 @@
         }
     }
 
+    /** Returns the number of available machines that the job fits; unlimited if the job is no longer stored. */
+    private int fittingMachines(JobView job) {
+        if (job == null) {
+            return Integer.MAX_VALUE;
+        }
+        int fitting = 0;
+        for (MachineState machine : machines.values()) {
+            MachineType type = replica.type(machine.status.type());
+            boolean fits = type != null
+                    && machine.isAvailable()
+                    && JobQueue.allows(type, machine.status.zone(), machine.status.spot(), job.spec());
+            fitting += fits ? 1 : 0;
+        }
+        return fitting;
+    }
+
     /**
      * Records a failure for which the machine may be at fault. The machine is cordoned, for longer each time that a task fails
      * after a cordon has ended. It is decommissioned once several tasks have failed on it whose jobs succeed elsewhere. Tasks
@@ -194,8 +212,8 @@
         machine.failedTasks.add(task);
         if (now >= machine.cordonedUntil) {
             machine.consecutiveCordons++;
-            machine.cordonedUntil = now
-                    + Math.min(MAX_CORDON_INTERVALS, 1L << machine.consecutiveCordons) * config.heartbeatIntervalMs();
+            long intervals = 1L << Math.min(MAX_CORDON_DOUBLINGS, machine.consecutiveCordons);
+            machine.cordonedUntil = now + Math.min(Times.MAX_HOLD_BACK_MS, intervals * config.heartbeatIntervalMs());
         }
         long failedTasksOfSuccessfulJobs = machine.failedTasks.stream()
                 .filter(failed -> failures.hasCompletedTasks(failed.job()))
--- a/src/test/java/garnetscale/core/leader/FailureTrackerTest.java
+++ b/src/test/java/garnetscale/core/leader/FailureTrackerTest.java
@@ -17,9 +17,12 @@
         return new TaskId(job, index);
     }
 
+    /** Number of machines that the jobs fit. */
+    private static final int MACHINES = 100;
+
     private void failOnDifferentMachines(long now, String job, int tasks) {
         for (int i = 0; i < tasks; i++) {
-            failures.recordFailure(now, task(job, i), "m-" + i);
+            failures.recordFailure(now, task(job, i), "m-" + i, MACHINES);
         }
     }
 
@@ -31,7 +34,7 @@
         assertEquals(0, failures.allowedPlacements(999, "wk-1", 0));
         assertEquals(1, failures.allowedPlacements(1000, "wk-1", 0));
         assertEquals(0, failures.allowedPlacements(1000, "wk-1", 1));
-        failures.recordFailure(1000, task("wk-1", 0), "m-7");
+        failures.recordFailure(1000, task("wk-1", 0), "m-7", MACHINES);
         assertEquals(0, failures.allowedPlacements(2999, "wk-1", 0));
         assertEquals(1, failures.allowedPlacements(3000, "wk-1", 0));
     }
@@ -42,7 +45,7 @@
         failures.recordCompletion(task("wk-1", 9));
         assertFalse(failures.isQuarantined("wk-1"));
         assertEquals(Integer.MAX_VALUE, failures.allowedPlacements(0, "wk-1", 5));
-        assertFalse(failures.recordFailure(0, task("wk-1", 0), "m-0"), "the machine is at fault");
+        assertFalse(failures.recordFailure(0, task("wk-1", 0), "m-0", MACHINES), "the machine is at fault");
     }
 
     /** A task that always fails must be held against machines only a few times, while the other tasks of its job continue. */
@@ -50,7 +53,7 @@
     void singleTasksOfAJobThatSucceedsAreQuarantinedToo() {
         failures.recordCompletion(task("wk-1", 9));
         for (int i = 0; i < 3; i++) {
-            failures.recordFailure(0, task("wk-1", 0), "m-" + i);
+            failures.recordFailure(0, task("wk-1", 0), "m-" + i, MACHINES);
         }
         assertTrue(failures.isQuarantined(task("wk-1", 0)));
         assertFalse(failures.isQuarantined(task("wk-1", 1)));
@@ -64,4 +67,12 @@
         failures.retain(job -> false);
         assertEquals(Set.of(), failures.quarantinedJobs());
     }
+
+    /** Where only two machines fit, a faulty job was never quarantined, and its failures cordoned them for all jobs without end. */
+    @Test
+    void aJobThatFailsOnAllMachinesThatFitItIsQuarantined() {
+        assertFalse(failures.recordFailure(0, task("wk-1", 0), "m-0", 2));
+        assertTrue(failures.recordFailure(0, task("wk-1", 0), "m-1", 2));
+        assertEquals(Set.of("wk-1"), failures.quarantinedJobs());
+    }
 }
--- a/src/test/java/garnetscale/core/leader/MachineEvaluatorTest.java
+++ b/src/test/java/garnetscale/core/leader/MachineEvaluatorTest.java
@@ -6,6 +6,7 @@
 
 import garnetscale.core.SchedulerConfig;
 import garnetscale.core.TestConfig;
+import garnetscale.core.Times;
 import garnetscale.core.job.TaskId;
 import garnetscale.core.machine.ExitCause;
 import garnetscale.core.machine.Placement;
@@ -22,7 +23,7 @@
 
     private static final long NOW = 100_000;
 
-    private final SchedulerConfig config = TestConfig.small().build();
+    private final SchedulerConfig config = TestConfig.large().build();
     private final List<String> log = new ArrayList<>();
     private final LeaderContext context = LeaderContext.of(config, new ReplicatedState().replica, log::add);
     private final MachineEvaluator evaluator = new MachineEvaluator(context);
@@ -46,9 +47,14 @@
     }
 
     private void exitAgain(MachineState machine, String job, ExitCause cause) {
+        exitAt(NOW, machine, job, cause);
+    }
+
+    /** Evaluates the exit of the newest attempt at this time. */
+    private void exitAt(long now, MachineState machine, String job, ExitCause cause) {
         TaskId task = new TaskId(job, 0);
         evaluator.onExit(
-                NOW,
+                now,
                 machine.id,
                 new Placement(task, attempt, 1, Placement.Stop.KEEP),
                 new TaskStatus(task, attempt, TaskState.EXITED, cause, false));
@@ -115,4 +121,19 @@
         evaluator.evaluate(NOW + 2 * config.workerLeaseMs() + config.heartbeatIntervalMs());
         assertEquals(Set.of("m-2"), context.machines().keySet());
     }
+
+    /** With heartbeats five seconds apart a machine was cordoned for up to 160 s, far beyond the 90 s that a job may wait. */
+    @Test
+    void noCordonIsLongerThanAJobMayBeHeldBack() {
+        MachineState machine = machine("m-1", false);
+        long longestMs = 0;
+        long now = NOW;
+        for (int i = 0; i < 10; i++) {
+            attempt++;
+            exitAt(now, machine, "wk-" + i, ExitCause.ERROR);
+            longestMs = Math.max(longestMs, machine.cordonedUntil - now);
+            now = machine.cordonedUntil;
+        }
+        assertEquals(Times.MAX_HOLD_BACK_MS, longestMs);
+    }
 }
--- a/src/test/java/garnetscale/core/sim/HeldBackJobTest.java
+++ b/src/test/java/garnetscale/core/sim/HeldBackJobTest.java
@@ -134,6 +134,17 @@
         }
     }
 
+    /**
+     * The same with two large machines, on which the faulty job fails without being quarantined. Its failures cordoned them for all
+     * jobs, again and again.
+     */
+    @Test
+    void aFaultyJobThatFewMachinesFitDoesNotKeepThemFromAJobThatHasBegun() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            assertEquals(List.of(), clusterWithFaultyJob(seed, MACHINES).rules.violations, "seed " + seed);
+        }
+    }
+
     /** Plays a cluster in which a third of the machines are large and empty, and all others have work for the whole time. */
     private static SimulatedCluster clusterWithFaultyJob(long seed, int machines) {
         ClusterShape shape = new ClusterShape(3, ZONES, machines, VALUE_BYTES).withTypes(List.of(SMALL, LARGE, SMALL));
