Test late copies of direct commands that were carried out

On another service a task ran on two machines, and a cancelled one ran again, when a late copy of a start command reached its machine after a controller or machine had come back within a second.

It can't happen here: nothing is cleared, and no missing attempt is taken for terminated, before the worker has seen a token above that of each direct start.

--- a/src/test/java/garnetscale/core/sim/ProtocolRules.java
+++ b/src/test/java/garnetscale/core/sim/ProtocolRules.java
@@ -27,6 +27,7 @@
     private final Map<String, String> reportedStates = new HashMap<>();
 
     private final Set<TaskId> completed = new HashSet<>();
+    private final Set<Long> startedAttempts = new HashSet<>();
     private final LeftWaitingRule leftWaiting = new LeftWaitingRule();
     private final Map<String, Double> limits;
     private final long cancelMs;
@@ -73,6 +74,9 @@
         if (before != null) {
             violated("ran_twice", task + " starts on " + machine + " while on " + before);
         }
+        if (!startedAttempts.add(attempt)) {
+            violated("started_again", task + " starts again on " + machine + " as attempt " + attempt);
+        }
         if (!hasPlacement.test(machine, attempt)) {
             violated("unplaced", task + " starts on " + machine + " as attempt " + attempt);
         }
--- a/src/test/java/garnetscale/core/sim/SimulatedCluster.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedCluster.java
@@ -60,6 +60,11 @@
     /** Jobs whose tasks fail on every machine. */
     final Set<String> failingJobs = new HashSet<>();
 
+    /** Jobs that the workers don't know yet; they refuse to start tasks of these. */
+    final Set<String> unknownJobs = new HashSet<>();
+
+    final RepeatedCommands repeatedCommands = new RepeatedCommands(this);
+
     /** Layout versions that the program installed on a controller supports, by controller. */
     final Map<String, VersionRange> installedLayouts = new HashMap<>();
 
--- a/src/test/java/garnetscale/core/sim/SimulatedNode.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedNode.java
@@ -274,12 +274,16 @@
         int process = processNumber;
         boolean[] ended = new boolean[1];
         cluster.network.send(name, send.machine(), () -> {
-            worker.onDirectCommands(cluster.now, send.fencingToken(), send.agentEpoch(), send.commands());
+            boolean isCarriedOut =
+                    worker.onDirectCommands(cluster.now, send.fencingToken(), send.agentEpoch(), send.commands());
             WorkerHeartbeat heartbeat = worker.heartbeat();
             cluster.network.send(send.machine(), name, () -> {
                 if (processNumber == process && !ended[0]) {
                     ended[0] = true;
                     owner.onCommandAnswer(cluster.now, send.machine(), send.fencingToken(), heartbeat);
+                    if (isCarriedOut) {
+                        cluster.repeatedCommands.onAnswered(name, send);
+                    }
                 }
             });
         });
--- a/src/test/java/garnetscale/core/sim/SimulatedWorker.java
+++ b/src/test/java/garnetscale/core/sim/SimulatedWorker.java
@@ -21,7 +21,14 @@
         this.cluster = cluster;
         this.id = id;
         this.model = new WorkerModel(
-                id, id, type, zone, SimulatedCluster.LEASE_MS, 0, cluster.rules.jobs::get, cluster.rules);
+                id,
+                id,
+                type,
+                zone,
+                SimulatedCluster.LEASE_MS,
+                0,
+                job -> cluster.unknownJobs.contains(job) ? null : cluster.rules.jobs.get(job),
+                cluster.rules);
         model.failTasks(task -> cluster.failingJobs.contains(task.job()));
         cluster.at(cluster.random.nextInt(1000), this::sendHeartbeat);
     }
@@ -38,6 +45,7 @@
         long sentAt = cluster.now;
         SimulatedNode node = cluster.nodes.get(target % cluster.nodes.size());
         copyOrHold(heartbeat);
+        cluster.repeatedCommands.onHeartbeat(heartbeat);
         if (cluster.now < cluster.network.heartbeatsBlockedUntil.getOrDefault(id, 0L)) {
             cluster.countOccurrence("machine reaches no controller");
             retryElsewhere(RETRY_MS);
